Add heathroad, the real proxy round the decision module

The module decided only on the simulator's wire; nothing spoke to sockets. heathroad is one program on one thread: front (callers), engine (the only owner of the Balancer), backend (pool and attempts), discovery and config. The settings' reader moves from the adapter into the library, so that both read them with the same code.

--- /dev/null
+++ b/src/bin/heathroad/config.rs
@@ -0,0 +1,82 @@
+//! What the proxy is told at its start: the environment and the configuration file, checked.
+
+use crate::discovery::Page;
+use serde::Deserialize;
+use std::env;
+use std::net::SocketAddr;
+use turnshift::settings::{self, Facts};
+
+/// All that a start needs.
+pub struct Config {
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where discovery, or its agent, answers.
+    pub discovery: SocketAddr,
+    /// Seed of the module's random numbers.
+    pub seed: u64,
+    /// How many descriptors the process may hold.
+    pub sockets: usize,
+    /// The list of backends as this proxy last had it.
+    pub known: Option<Page>,
+    /// The settings.
+    pub facts: Facts,
+}
+
+#[derive(Deserialize)]
+struct File {
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: String,
+    limits: Limits,
+    known: Option<Page>,
+    settings: serde_json::Value,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    sockets: usize,
+}
+
+/// Fewer descriptors than this leave no room for work.
+const MIN_SOCKETS: usize = 64;
+
+/// Reads the environment and the file that it names.
+pub fn load() -> Result<Config, String> {
+    let path = env::var("RELAY_CONFIG").map_err(|_| "RELAY_CONFIG is not set".to_string())?;
+    let text = std::fs::read(&path).map_err(|e| format!("RELAY_CONFIG: {path}: {e}"))?;
+    parse(&text, env::var("RELAY_LISTEN").ok(), env::var("RELAY_DISCOVERY").ok())
+}
+
+/// The environment's addresses go before the file's.
+fn parse(text: &[u8], listen: Option<String>, discovery: Option<String>) -> Result<Config, String> {
+    let json = &mut serde_json::Deserializer::from_slice(text);
+    let file: File = serde_path_to_error::deserialize(json).map_err(|e| format!("config: {e}"))?;
+    let facts = settings::read(file.settings).map_err(|e| format!("config: {e}"))?;
+    let site = &facts.site;
+    let wrong = [
+        (file.limits.sockets < MIN_SOCKETS, "limits.sockets: too few to work with"),
+        (site.classes.iter().any(String::is_empty), "settings: classes: one has no name"),
+        (site.tenants.iter().any(String::is_empty), "settings: tenants: one has no name"),
+        (site.zones.is_empty(), "settings: localities: is missing or empty"),
+        (site.open_cap == 0, "settings: caps.openCap: is missing or 0"),
+        (site.conn_idle <= 0.0, "settings: caps.connIdle: is missing or 0"),
+        (site.connect_timeout <= 0.0, "settings: caps.connectTimeout: is missing or 0"),
+        (site.drain_grace <= 0.0, "settings: guarantees.stopSendingWithin: is missing or 0"),
+    ];
+    if let Some((_, what)) = wrong.iter().find(|(bad, _)| *bad) {
+        return Err(format!("config: {what}"));
+    }
+    Ok(Config {
+        listen: address("listen", listen.or(file.listen))?,
+        discovery: address("discovery", discovery.or(file.discovery))?,
+        seed: u64::from_str_radix(&file.seed, 16).map_err(|e| format!("config: seed: {e}"))?,
+        sockets: file.limits.sockets,
+        known: file.known,
+        facts,
+    })
+}
+
+fn address(name: &str, text: Option<String>) -> Result<SocketAddr, String> {
+    let text = text.ok_or_else(|| format!("config: {name}: is missing"))?;
+    text.parse().map_err(|e| format!("config: {name}: {text}: {e}"))
+}
--- /dev/null
+++ b/src/bin/heathroad/discovery.rs
@@ -0,0 +1,171 @@
+//! Discovery: the list of backends, and the watch on its changes.
+
+use crate::engine::Engine;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::{Request, StatusCode, header};
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, timeout};
+use turnshift::api::ListKind;
+
+/// How long a watch waits for a change; short, so that a dead watch is soon noticed.
+const WAIT: Duration = Duration::from_secs(10);
+/// An answer that is later than its wait by this is not coming.
+const PATIENCE: Duration = Duration::from_millis(1500);
+/// Pause after a failed call: doubles from the one to the other.
+const BACKOFF: [Duration; 2] = [Duration::from_millis(50), Duration::from_secs(1)];
+/// Pause after an answer without news that came at once; a watch goes on if asked within 200 ms.
+const LULL: Duration = Duration::from_millis(100);
+/// Longest list.
+const MAX_LIST: usize = 8 << 20;
+
+/// A list, or changes to one.
+#[derive(Deserialize)]
+pub struct Page {
+    seq: u64,
+    whole: bool,
+    hosts: Vec<serde_json::Value>,
+}
+
+/// An entry of a list.
+#[derive(Deserialize)]
+pub struct Host {
+    /// The backend's name.
+    pub host: String,
+    /// Its address; one that is gone needs none.
+    pub dial: Option<SocketAddr>,
+    /// Its zone.
+    #[serde(default)]
+    pub site: String,
+    /// Its cell.
+    #[serde(default)]
+    pub block: u16,
+    /// Whether it takes new work.
+    pub health: Health,
+    /// Its size beside the others'.
+    #[serde(default)]
+    pub share: f64,
+    /// When it started, Unix time in milliseconds; 0 for long ago.
+    #[serde(default)]
+    pub born_ms: f64,
+}
+
+/// Whether a backend takes new work.
+#[derive(Deserialize, Clone, Copy, PartialEq, Eq)]
+#[serde(rename_all = "UPPERCASE")]
+pub enum Health {
+    /// Takes work.
+    Serving,
+    /// Finishes its work.
+    Draining,
+    /// Gone.
+    Deleted,
+}
+
+impl Page {
+    /// Its entries; those that can't be read are logged in one line and passed over.
+    pub fn entries(self) -> Vec<Host> {
+        let (mut good, mut bad, mut example) = (Vec::new(), 0, String::new());
+        for value in self.hosts {
+            match Host::deserialize(&value) {
+                Ok(host) if host.health == Health::Deleted || host.dial.is_some() => good.push(host),
+                Ok(host) => (bad, example) = (bad + 1, format!("{}: no address", host.host)),
+                Err(e) => (bad, example) = (bad + 1, format!("{value}: {e}")),
+            }
+        }
+        if bad > 0 {
+            eprintln!("heathroad: discovery: {bad} entries passed over, such as {example}");
+        }
+        good
+    }
+}
+
+/// Follows discovery for ever. Where the list must be asked for, it does so when the module says so and tells
+/// it of failures; elsewhere it watches all the time.
+pub async fn follow(
+    engine: Rc<Engine>,
+    address: SocketAddr,
+    must_ask: bool,
+    mut wanted: watch::Receiver<bool>,
+) {
+    let (mut seq, mut link, mut pause) = (None, None, BACKOFF[0]);
+    loop {
+        if must_ask && !*wanted.borrow_and_update() {
+            if wanted.changed().await.is_err() {
+                return;
+            }
+            continue;
+        }
+        let asked = Instant::now();
+        match ask(&mut link, address, seq).await {
+            Ok(page) => {
+                (seq, pause) = (Some(page.seq), BACKOFF[0]);
+                let news = page.whole || !page.hosts.is_empty();
+                if news {
+                    let kind = if page.whole { ListKind::Full } else { ListKind::Delta };
+                    engine.list(kind, page.entries());
+                } else if asked.elapsed() < LULL {
+                    sleep(LULL).await;
+                }
+            }
+            Err(e) => {
+                if pause == BACKOFF[0] {
+                    eprintln!("heathroad: discovery: {e}");
+                }
+                link = None;
+                if must_ask {
+                    // The module decides when to ask again.
+                    engine.list_failed();
+                }
+                sleep(pause).await;
+                pause = (pause * 2).min(BACKOFF[1]);
+            }
+        }
+    }
+}
+
+type Link = SendRequest<Empty<Bytes>>;
+
+/// One call: the whole list first, then a watch from the version that is held.
+async fn ask(link: &mut Option<Link>, address: SocketAddr, seq: Option<u64>) -> Result<Page, String> {
+    let (path, wait) = match seq {
+        None => ("/registry/instances".to_string(), Duration::ZERO),
+        Some(seq) => (format!("/registry/instances?after={seq}&wait_ms={}", WAIT.as_millis()), WAIT),
+    };
+    let call = async {
+        let mut sender = match link.take().filter(|l| !l.is_closed()) {
+            Some(sender) => sender,
+            None => connect(address).await?,
+        };
+        let request = Request::get(path).header(header::HOST, address.to_string()).body(Empty::new());
+        let request = request.map_err(|e| e.to_string())?;
+        let answer = sender.send_request(request).await.map_err(|e| e.to_string())?;
+        if answer.status() != StatusCode::OK {
+            return Err(format!("answered {}", answer.status()));
+        }
+        let body = Limited::new(answer.into_body(), MAX_LIST).collect().await.map_err(|e| e.to_string())?;
+        if sender.ready().await.is_ok() {
+            *link = Some(sender);
+        }
+        serde_json::from_slice(&body.to_bytes()).map_err(|e| format!("list: {e}"))
+    };
+    timeout(wait + PATIENCE, call).await.map_err(|_| "no answer in time".to_string())?
+}
+
+async fn connect(address: SocketAddr) -> Result<Link, String> {
+    let stream = TcpStream::connect(address).await.map_err(|e| format!("{address}: {e}"))?;
+    stream.set_nodelay(true).map_err(|e| e.to_string())?;
+    let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+    tokio::task::spawn_local(async move {
+        // Its end shows at the sender.
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
--- /dev/null
+++ b/src/bin/heathroad/main.rs
@@ -0,0 +1,90 @@
+//! heathroad: the balancer's decisions as a real proxy on sockets. Start, signals and wiring.
+
+#![forbid(unsafe_code)]
+
+mod backend;
+mod config;
+mod discovery;
+mod engine;
+mod front;
+
+use backend::Pool;
+use config::Config;
+use engine::{Engine, millis};
+use front::Front;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep};
+use turnshift::api::ListKind;
+
+/// After SIGTERM new connections go on coming for so long.
+const LINGER: Duration = Duration::from_millis(500);
+/// So long after SIGTERM all that was taken must be answered; a kill may follow soon after.
+const LAST: Duration = Duration::from_millis(3300);
+/// How often kept connections are looked through for old ones.
+const SWEEP: Duration = Duration::from_secs(1);
+/// Descriptors that are neither callers' nor backends' connections: standard streams, the listener, the
+/// reactor, discovery, and connections that are taken only to be refused.
+const RESERVED: usize = 48;
+
+fn main() -> ExitCode {
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("heathroad: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start() -> Result<(), String> {
+    let config = config::load()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+    LocalSet::new().block_on(&runtime, run(config))
+}
+
+async fn run(config: Config) -> Result<(), String> {
+    let mut terminated = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    // Each request in work holds a connection on either side; kept ones fill what is left.
+    let usable = config.sockets - RESERVED;
+    let site = &config.facts.site;
+    let pool = Rc::new(Pool::new(backend::Limits {
+        connections: usable / 2,
+        connect: millis(site.connect_timeout),
+        idle: millis(site.conn_idle),
+        drain_grace: millis(site.drain_grace),
+        may_duplicate: site.may_duplicate,
+    }));
+    let (watching, wanted) = watch::channel(false);
+    let must_ask = config.facts.settings.must_ask;
+    let engine = Engine::new(config.facts.clone(), config.seed, pool.clone(), watching);
+    let engine = engine.map_err(|e| e.to_string())?;
+    let known = config.known.map(|page| page.entries()).unwrap_or_default();
+    engine.list(ListKind::Cached, known);
+    let listener = TcpListener::bind(config.listen).await;
+    let listener = listener.map_err(|e| format!("listen: {}: {e}", config.listen))?;
+    let bound = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
+    eprintln!("heathroad: listening on {bound}");
+    spawn_local(discovery::follow(engine.clone(), config.discovery, must_ask, wanted));
+    spawn_local(async move {
+        loop {
+            sleep(SWEEP).await;
+            pool.sweep();
+        }
+    });
+    let (stop, stopped) = watch::channel(false);
+    let front = Front { engine: engine.clone(), facts: config.facts, connections: usable - usable / 2 };
+    let serving = spawn_local(Rc::new(front).serve(listener, stopped));
+    terminated.recv().await;
+    eprintln!("heathroad: stopping, {} requests open", engine.owed());
+    engine.end_by(Instant::now() + LAST);
+    sleep(LINGER).await;
+    stop.send_replace(true);
+    serving.await.map_err(|e| format!("front: {e}"))
+}
--- a/src/bin/turnshift-drill/main.rs
+++ b/src/bin/turnshift-drill/main.rs
@@ -3,15 +3,14 @@
 
 #![forbid(unsafe_code)]
 
-mod settings;
 mod wire;
 
 use std::collections::HashMap;
 use std::io::{self, BufReader, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::process::ExitCode;
-use turnshift::Balancer;
 use turnshift::api::Action;
+use turnshift::{Balancer, settings};
 
 fn main() -> ExitCode {
     match serve() {
@@ -37,7 +36,7 @@
                 wire::Record::Unused { instance } if instances.contains_key(&instance) => {}
                 wire::Record::Unused { instance } => return Err(format!("instance {instance} is unknown")),
                 wire::Record::Launch { instance, seed, facts } => {
-                    let settings = settings::parse(&facts)?;
+                    let settings = settings::parse(&facts)?.settings;
                     instances.insert(instance, Balancer::new(settings, seed).map_err(|e| e.to_string())?);
                 }
                 wire::Record::Shutdown { instance } => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -72,6 +72,7 @@
 
 pub mod api;
 mod balancer;
+pub mod settings;
 mod state;
 
 pub use balancer::Balancer;
--- a/src/bin/turnshift-drill/settings.rs
+++ b/src/settings.rs
@@ -1,7 +1,38 @@
-//! Reads an instance's settings from the JSON text that comes with its start.
+//! Reads an instance's settings from the JSON object that comes with its start: on the simulator's wire as
+//! text, at a real proxy as a part of its configuration.
 
+use crate::api;
 use serde::{Deserialize, Deserializer, de::Error};
-use turnshift::api;
+
+/// The settings, split by who reads them.
+#[derive(Debug, Clone)]
+pub struct Facts {
+    /// What the decisions need.
+    pub settings: api::Settings,
+    /// What a proxy on real sockets needs beside them.
+    pub site: Site,
+}
+
+/// Names and figures that no decision needs; empty or 0 where the text leaves them out.
+#[derive(Debug, Clone, Default)]
+pub struct Site {
+    /// Names of the classes, in the order of the settings.
+    pub classes: Vec<String>,
+    /// Names of the tenants.
+    pub tenants: Vec<String>,
+    /// Names of the zones.
+    pub zones: Vec<String>,
+    /// Idle connections are closed by the backend after this, at the latest.
+    pub conn_idle: f64,
+    /// A connection not made by then has failed.
+    pub connect_timeout: f64,
+    /// Most open requests of a copy.
+    pub open_cap: usize,
+    /// A request may have two attempts out at once.
+    pub may_duplicate: bool,
+    /// Time after the notice in which sends to a draining backend must end.
+    pub drain_grace: f64,
+}
 
 /// A figure that must be finite and not negative.
 fn figure<'de, D: Deserializer<'de>>(d: D) -> Result<f64, D::Error> {
@@ -11,11 +42,13 @@
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
-struct Facts {
+struct Text {
     slot_no: u32,
     peers_total: u32,
     tier: u32,
     locality: u16,
+    #[serde(default)]
+    localities: Vec<String>,
     #[serde(deserialize_with = "figure")]
     tick: f64,
     #[serde(deserialize_with = "figure")]
@@ -41,6 +74,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Class {
+    #[serde(default)]
+    name: String,
     #[serde(deserialize_with = "figure")]
     aim: f64,
     #[serde(deserialize_with = "figure")]
@@ -72,6 +107,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Tenant {
+    #[serde(default)]
+    name: String,
     #[serde(deserialize_with = "figure")]
     quota_per_s: f64,
 }
@@ -84,6 +121,14 @@
     #[serde(deserialize_with = "figure")]
     max_retry_after: f64,
     try_limit: u32,
+    #[serde(default)]
+    open_cap: usize,
+    #[serde(default)]
+    may_duplicate: bool,
+    #[serde(default, deserialize_with = "figure")]
+    conn_idle: f64,
+    #[serde(default, deserialize_with = "figure")]
+    connect_timeout: f64,
 }
 
 #[derive(Deserialize)]
@@ -101,6 +146,8 @@
     release_within: f64,
     #[serde(default, deserialize_with = "figure")]
     settle_after_doubt: f64,
+    #[serde(default, deserialize_with = "figure")]
+    stop_sending_within: f64,
 }
 
 #[derive(Deserialize, Default)]
@@ -118,10 +165,26 @@
 }
 
 /// Parses the text; an error names the key.
-pub fn parse(text: &[u8]) -> Result<api::Settings, String> {
+pub fn parse(text: &[u8]) -> Result<Facts, String> {
     let mut json = serde_json::Deserializer::from_slice(text);
-    let f: Facts = serde_path_to_error::deserialize(&mut json).map_err(|e| format!("settings: {e}"))?;
+    let facts = read(&mut json)?;
     json.end().map_err(|e| format!("settings: {e}"))?;
+    Ok(facts)
+}
+
+/// Reads the object from where it stands; an error names the key.
+pub fn read<'de, D: Deserializer<'de>>(from: D) -> Result<Facts, String> {
+    let f: Text = serde_path_to_error::deserialize(from).map_err(|e| format!("settings: {e}"))?;
+    let site = Site {
+        classes: f.classes.iter().map(|c| c.name.clone()).collect(),
+        tenants: f.tenants.iter().map(|t| t.name.clone()).collect(),
+        zones: f.localities,
+        conn_idle: f.caps.conn_idle,
+        connect_timeout: f.caps.connect_timeout,
+        open_cap: f.caps.open_cap,
+        may_duplicate: f.caps.may_duplicate,
+        drain_grace: f.guarantees.stop_sending_within,
+    };
     let class = |c: Class| api::Class {
         aim: c.aim,
         points: c.points,
@@ -139,7 +202,7 @@
             },
         },
     };
-    Ok(api::Settings {
+    let settings = api::Settings {
         copy: f.slot_no,
         copies: f.peers_total,
         tier: f.tier,
@@ -164,5 +227,6 @@
             settle_after_doubt: f.guarantees.settle_after_doubt,
         },
         goal: api::Goal { worst_class: f.goal.worst_class, cross_zone: f.prices.cross_zone },
-    })
+    };
+    Ok(Facts { settings, site })
 }
