Close callers at rest when places run short

Cause: front.rs stopped accepting at its limit until some connection ended; callers that keep theirs at rest then leave later ones in the system's queue, with requests that nobody answers. Seen in the new half of callers_at_rest_do_not_keep_others_out, which hangs without the mend. First try, dropped: closing every connection at rest also closed one whose first request was on its way; now only those at rest for a second.

--- a/src/bin/heathroad/front.rs
+++ b/src/bin/heathroad/front.rs
@@ -11,6 +11,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
@@ -26,6 +27,8 @@
 const HEAD: Duration = Duration::from_secs(60);
 /// Pause when no descriptor is left to accept with.
 const STARVED: Duration = Duration::from_millis(10);
+/// Where places are short, a connection at rest for so long is closed.
+const REST: Duration = Duration::from_secs(1);
 /// Connections past the limit, taken only to be refused at once.
 const SPARE: usize = 32;
 /// A body longer than this is not read to its end.
@@ -51,15 +54,22 @@
     pub async fn serve(self: Rc<Self>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
         let mut open = JoinSet::new();
         let closing = stop.clone();
+        let crowd = watch::Sender::new(());
         while !*stop.borrow_and_update() {
             let full = open.len() >= self.connections + SPARE;
+            if full {
+                // Connections that are left in the system's queue hold requests that we owe an answer, and
+                // callers at rest may keep theirs for long: those make room.
+                crowd.send_replace(());
+            }
             tokio::select! {
                 _ = stop.changed() => break,
+                () = sleep(STARVED), if full => {}
                 Some(_) = open.join_next() => {}
                 accepted = listener.accept(), if !full => match accepted {
                     Ok((stream, _)) => {
                         let crowded = open.len() >= self.connections;
-                        open.spawn_local(self.clone().connection(stream, closing.clone(), crowded));
+                        open.spawn_local(self.clone().connection(stream, closing.clone(), crowd.subscribe(), crowded));
                     }
                     // None of these ends the loop: callers are waiting, and descriptors come free again.
                     Err(e) if out_of_descriptors(&e) => sleep(STARVED).await,
@@ -71,25 +81,38 @@
         while open.join_next().await.is_some() {}
     }
 
-    async fn connection(self: Rc<Self>, stream: TcpStream, mut stop: watch::Receiver<bool>, crowded: bool) {
+    async fn connection(
+        self: Rc<Self>,
+        stream: TcpStream,
+        mut stop: watch::Receiver<bool>,
+        mut crowd: watch::Receiver<()>,
+        crowded: bool,
+    ) {
         if stream.set_nodelay(true).is_err() {
             return;
         }
-        let service = service_fn(|request| self.answer(request, crowded));
+        let rests_since = Cell::new(Instant::now());
+        let service = service_fn(async |request| {
+            let reply = self.answer(request, crowded).await;
+            rests_since.set(Instant::now());
+            reply
+        });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD)
             .serve_connection(Watched::new(TokioIo::new(stream)), service);
         let mut connection = pin!(connection);
-        let ended = tokio::select! {
-            _ = connection.as_mut() => true,
-            _ = stop.wait_for(|stop| *stop) => false,
-        };
-        if !ended {
-            connection.as_mut().graceful_shutdown();
-            // However it ends, the caller is gone and its request, if any, was told so.
-            let _ = connection.await;
+        loop {
+            tokio::select! {
+                // However it ends, the caller is gone and its request, if any, was told so.
+                _ = connection.as_mut() => return,
+                _ = stop.wait_for(|stop| *stop) => break,
+                // Not the newest ones: their requests are on their way.
+                _ = crowd.changed() => if rests_since.get().elapsed() > REST { break },
+            }
         }
+        connection.as_mut().graceful_shutdown();
+        let _ = connection.await;
     }
 
     async fn answer(&self, request: Request<Inflow>, crowded: bool) -> Result<Reply, Infallible> {
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -276,11 +276,14 @@
     config["limits"]["sockets"] = 64.into();
     let proxy = Proxy::start_as(&config, "exec \"$0\"").await;
     discovery.settled().await;
-    let mut rest = Vec::new();
+    // Some have made a call and rest, some have never said a word; there is room for 40 at the most.
+    let (mut rest, mut mute) = (Vec::new(), Vec::new());
     for _ in 0..30 {
         let mut caller = proxy.caller().await;
         assert_eq!(caller.call("look").await.0, 200);
         rest.push(caller);
+        mute.push(soon(TcpStream::connect(proxy.addr)).await.expect("the system takes it"));
+        mute.push(soon(TcpStream::connect(proxy.addr)).await.expect("the system takes it"));
     }
 }
 
