Test that the connections used last are reused first, and the linger of a stop

Cause: eleven changes that each undo one guard were tried against the tests; two went unseen: reusing the oldest connection first, and no linger after SIGTERM.

--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -133,6 +133,37 @@
     assert_eq!(s.proxy.call("once").await.0, 200);
 }
 
+/// The connections that a burst leaves behind grow old only if calls keep to the ones used last.
+#[tokio::test]
+async fn connections_that_are_not_needed_are_left_to_grow_old() {
+    let orders = Arc::new(Orders::default());
+    let a = Backend::start("a", &orders).await;
+    let discovery = Discovery::start(vec![a.line("SERVING")]).await;
+    let proxy = Proxy::settled(&discovery, with_cap("connIdle", 3000.0.into())).await;
+    let release = Arc::new(Notify::new());
+    orders.give([Do::Hold(release.clone()), Do::Hold(release.clone())]);
+    let (mut one, mut two) = (proxy.caller().await, proxy.caller().await);
+    let held = [
+        tokio::spawn(async move { one.call("look").await }),
+        tokio::spawn(async move { two.call("look").await }),
+    ];
+    orders.came(2).await;
+    release.notify_one();
+    release.notify_one();
+    for call in held {
+        assert_eq!(call.await.expect("no panic").0, 200);
+    }
+    assert_eq!(a.total(), 2);
+    soon(async {
+        while *a.open.borrow() > 1 {
+            assert_eq!(proxy.call("look").await.0, 200);
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    })
+    .await;
+    assert_eq!(a.total(), 2, "one of the two was used all the time");
+}
+
 #[tokio::test]
 async fn nothing_new_goes_to_a_backend_that_drains_and_what_it_has_is_finished() {
     let s = scene(settings()).await;
@@ -227,6 +258,7 @@
     s.orders.came(1).await;
     s.proxy.terminate().await;
     assert_eq!(idle.call("look").await.0, 200, "connections at rest go on being used");
+    tokio::time::sleep(Duration::from_millis(100)).await;
     assert_eq!(s.proxy.call("look").await.0, 200, "new ones are taken for a while");
     soon(async { while idle.0.ready().await.is_ok() && TcpStream::connect(s.proxy.addr).await.is_ok() {} })
         .await;
