Drop kept connections when a backend's process has restarted

Cause: engine.rs kept a backend's target while its address stayed the same, so that after a restart the pool still held connections of the old process. Where the machine had fallen silent these look open, and a request written to one ends as a reset: an unsafe one then fails though nothing ran. Seen in a_restarted_backend_is_not_sent_to_on_old_connections, which fails without the mend. Also: any error of accept now pauses the loop, since one that lasts would have turned it into a hot loop.

--- a/src/bin/heathroad/backend.rs
+++ b/src/bin/heathroad/backend.rs
@@ -48,6 +48,8 @@
 pub struct Target {
     /// Its address.
     pub dial: SocketAddr,
+    /// When its process started, as discovery tells it.
+    pub born_ms: f64,
     /// When this proxy was told that it takes nothing new.
     pub drained: Cell<Option<Instant>>,
 }
@@ -199,7 +201,7 @@
 }
 
 /// Whether the process or the machine has no descriptor left.
-pub fn out_of_descriptors(e: &io::Error) -> bool {
+fn out_of_descriptors(e: &io::Error) -> bool {
     const ENFILE: i32 = 23;
     const EMFILE: i32 = 24;
     matches!(e.raw_os_error(), Some(ENFILE | EMFILE))
--- a/src/bin/heathroad/engine.rs
+++ b/src/bin/heathroad/engine.rs
@@ -247,11 +247,15 @@
         };
         match (phase, h.dial) {
             (Phase::Ready, Some(dial)) => {
+                // A new process knows nothing of the old one's connections. Where its machine fell silent
+                // they look open still, and a request on one would end as a reset, which may have run.
+                let born_ms = h.born_ms;
                 let same =
-                    s.targets.get(&backend).is_some_and(|t| t.dial == dial && t.drained.get().is_none());
+                    |t: &Rc<Target>| t.dial == dial && t.born_ms == born_ms && t.drained.get().is_none();
+                let same = s.targets.get(&backend).is_some_and(same);
                 if !same {
                     s.withdraw(backend, &self.pool);
-                    let target = Target { dial, drained: Cell::new(None) };
+                    let target = Target { dial, born_ms, drained: Cell::new(None) };
                     s.targets.insert(backend, Rc::new(target));
                 }
             }
--- a/src/bin/heathroad/front.rs
+++ b/src/bin/heathroad/front.rs
@@ -1,6 +1,6 @@
 //! The callers' side: takes requests, checks them, and writes each one's answer.
 
-use crate::backend::{Call, MAX_BODY, out_of_descriptors};
+use crate::backend::{Call, MAX_BODY};
 use crate::engine::{Answer, Engine, Incoming};
 use crate::stream::Watched;
 use bytes::{Bytes, BytesMut};
@@ -25,7 +25,7 @@
 
 /// A caller may take so long to send a request's head, and may be idle for so long before it.
 const HEAD: Duration = Duration::from_secs(60);
-/// Pause when no descriptor is left to accept with.
+/// Pause when nothing can be accepted.
 const STARVED: Duration = Duration::from_millis(10);
 /// Where places are short, a connection at rest for so long is closed.
 const REST: Duration = Duration::from_secs(1);
@@ -71,9 +71,9 @@
                         let crowded = open.len() >= self.connections;
                         open.spawn_local(self.clone().connection(stream, closing.clone(), crowd.subscribe(), crowded));
                     }
-                    // None of these ends the loop: callers are waiting, and descriptors come free again.
-                    Err(e) if out_of_descriptors(&e) => sleep(STARVED).await,
-                    Err(_) => tokio::task::yield_now().await,
+                    // No error ends the loop, out of descriptors or other: callers are waiting, and what is
+                    // short comes free again.
+                    Err(_) => sleep(STARVED).await,
                 }
             }
         }
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -133,6 +133,20 @@
     assert_eq!(s.proxy.call("once").await.0, 200);
 }
 
+#[tokio::test]
+async fn a_restarted_backend_is_not_sent_to_on_old_connections() {
+    let s = scene(settings()).await;
+    for _ in 0..20 {
+        assert_eq!(s.proxy.call("once").await.0, 200);
+    }
+    let (mut a, mut b) = (s.a.line("SERVING"), s.b.line("SERVING"));
+    (a["born_ms"], b["born_ms"]) = (1.0.into(), 1.0.into());
+    s.discovery.tell(vec![a, b]).await;
+    s.a.all_closed().await;
+    s.b.all_closed().await;
+    assert_eq!(s.proxy.call("once").await.0, 200);
+}
+
 /// The connections that a burst leaves behind grow old only if calls keep to the ones used last.
 #[tokio::test]
 async fn connections_that_are_not_needed_are_left_to_grow_old() {
