Read the configuration again on SIGHUP and follow discovery to its new address

At fault: main.rs had no handler, and discovery::follow knew one address for good.

Now the file is read and checked as at a start; its discovery goes before the environment's. The running watch is dropped at once with its connection and version, and the new address is asked for the whole list. A bad file is one log line and changes nothing.

The test fails without the change: the program ends on the signal; with seq carried across it would wait for ever.

--- a/src/bin/heathroad/config.rs
+++ b/src/bin/heathroad/config.rs
@@ -47,7 +47,16 @@
     parse(&text, env::var("RELAY_LISTEN").ok(), env::var("RELAY_DISCOVERY").ok())
 }
 
-/// The environment's addresses go before the file's.
+/// Reads the file again for what may change while the program runs: where discovery is. Here the file goes before
+/// the environment, which still names the old address.
+pub fn reload() -> Result<SocketAddr, String> {
+    let path = env::var("RELAY_CONFIG").map_err(|_| "RELAY_CONFIG is not set".to_string())?;
+    let text = std::fs::read(&path).map_err(|e| format!("RELAY_CONFIG: {path}: {e}"))?;
+    // It is checked as a whole: a file that no start would take is no reason to move.
+    parse(&text, env::var("RELAY_LISTEN").ok(), None).map(|config| config.discovery)
+}
+
+/// The environment's addresses, where given, go before the file's.
 fn parse(text: &[u8], listen: Option<String>, discovery: Option<String>) -> Result<Config, String> {
     let json = &mut serde_json::Deserializer::from_slice(text);
     let file: File = serde_path_to_error::deserialize(json).map_err(|e| format!("config: {e}"))?;
--- a/src/bin/heathroad/main.rs
+++ b/src/bin/heathroad/main.rs
@@ -52,6 +52,7 @@
 
 async fn run(config: Config) -> Result<(), String> {
     let mut terminated = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let mut reloaded = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     // Each request in work holds a connection on either side; kept ones fill what is left.
     let usable = config.sockets - RESERVED;
     let site = &config.facts.site;
@@ -72,7 +73,9 @@
     let listener = listener.map_err(|e| format!("listen: {}: {e}", config.listen))?;
     let bound = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
     eprintln!("heathroad: listening on {bound}");
-    spawn_local(discovery::follow(engine.clone(), config.discovery, must_ask, wanted));
+    let follow =
+        move |engine, address| spawn_local(discovery::follow(engine, address, must_ask, wanted.clone()));
+    let mut following = follow(engine.clone(), config.discovery);
     spawn_local(async move {
         loop {
             sleep(SWEEP).await;
@@ -82,7 +85,23 @@
     let (stop, stopped) = watch::channel(false);
     let front = Front { engine: engine.clone(), facts: config.facts, connections: usable - usable / 2 };
     let serving = spawn_local(Rc::new(front).serve(listener, stopped));
-    terminated.recv().await;
+    loop {
+        tokio::select! {
+            biased;
+            _ = terminated.recv() => break,
+            _ = reloaded.recv() => {}
+        }
+        match config::reload() {
+            Ok(address) => {
+                eprintln!("heathroad: configuration read again, discovery at {address}");
+                // The old watch ends at once, with its connection and its version: the new address is asked for
+                // the whole list.
+                following.abort();
+                following = follow(engine.clone(), address);
+            }
+            Err(e) => eprintln!("heathroad: configuration kept: {e}"),
+        }
+    }
     eprintln!("heathroad: stopping, {} requests open", engine.owed());
     engine.end_by(Instant::now() + LAST);
     sleep(LINGER).await;
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -294,6 +294,24 @@
     assert_eq!(s.proxy.ended().await.code(), Some(0));
 }
 
+#[tokio::test]
+async fn a_new_configuration_moves_the_proxy_to_another_discovery() {
+    let mut s = scene(settings()).await;
+    // The other discovery's version is lower than the one held: carried across, it would wait for ever.
+    s.discovery.tell(vec![s.a.line("SERVING")]).await;
+    let other = Discovery::start(vec![s.b.line("SERVING")]).await;
+    s.proxy.reload("{", "configuration kept").await;
+    assert_eq!(s.proxy.call("look").await, (200, "a".into()));
+    s.proxy.reload(&other.config(settings()).to_string(), "read again").await;
+    other.settled().await;
+    soon(s.discovery.open.subscribe().wait_for(|n| *n == 0)).await.expect("open");
+    for _ in 0..20 {
+        assert_eq!(s.proxy.call("look").await, (200, "b".into()));
+    }
+    other.tell(vec![s.a.line("SERVING")]).await;
+    assert_eq!(s.proxy.call("look").await, (200, "a".into()));
+}
+
 #[tokio::test]
 async fn running_out_of_descriptors_ends_nothing() {
     let orders = Arc::new(Orders::default());
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -195,6 +195,8 @@
     addr: SocketAddr,
     list: Arc<watch::Sender<(u64, Vec<Value>)>>,
     held: Arc<watch::Sender<u64>>,
+    /// Connections that are open now.
+    pub open: Arc<watch::Sender<usize>>,
 }
 
 impl Discovery {
@@ -203,11 +205,12 @@
         let addr = listener.local_addr().expect("bound");
         let list = Arc::new(watch::Sender::new((1, hosts)));
         let held = Arc::new(watch::Sender::new(0));
-        let (lists, holds) = (list.clone(), held.clone());
+        let open = Arc::new(watch::Sender::new(0));
+        let (lists, holds, alive) = (list.clone(), held.clone(), open.clone());
         tokio::spawn(async move {
             loop {
                 let (stream, _) = listener.accept().await.expect("a connection");
-                let (lists, holds) = (lists.clone(), holds.clone());
+                let (lists, holds, alive) = (lists.clone(), holds.clone(), alive.clone());
                 let service = service_fn(move |request: Request<Incoming>| {
                     let (mut list, holds) = (lists.subscribe(), holds.clone());
                     async move {
@@ -222,10 +225,14 @@
                         Ok::<_, io::Error>(Response::new(Full::new(Bytes::from(text))))
                     }
                 });
-                tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+                tokio::spawn(async move {
+                    alive.send_modify(|n| *n += 1);
+                    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+                    alive.send_modify(|n| *n -= 1);
+                });
             }
         });
-        Discovery { addr, list, held }
+        Discovery { addr, list, held, open }
     }
 
     /// The configuration of a proxy that asks here.
@@ -266,6 +273,8 @@
 
 pub struct Proxy {
     pub addr: SocketAddr,
+    /// The file of its configuration.
+    pub config: std::path::PathBuf,
     child: Child,
     log: tokio::io::Lines<BufReader<ChildStderr>>,
 }
@@ -286,11 +295,13 @@
 
     /// Starts the program by a shell command in which it is `$0`.
     pub async fn start_as(config: &Value, command: &str) -> Self {
+        let path = write_config(&config.to_string());
         let mut child = Command::new("/bin/sh")
             .args(["-c", command, env!("CARGO_BIN_EXE_heathroad")])
             .env_remove("RELAY_LISTEN")
-            .env_remove("RELAY_DISCOVERY")
-            .env("RELAY_CONFIG", write_config(&config.to_string()))
+            // As in service: at the start the variable names the address too.
+            .env("RELAY_DISCOVERY", config["discovery"].as_str().expect("text"))
+            .env("RELAY_CONFIG", &path)
             .stderr(Stdio::piped())
             .kill_on_drop(true)
             .spawn()
@@ -302,7 +313,7 @@
                 break addr.parse().expect("an address");
             }
         };
-        Proxy { addr, child, log }
+        Proxy { addr, config: path, child, log }
     }
 
     /// The proxy, once it holds discovery's list.
@@ -312,13 +323,23 @@
         proxy
     }
 
-    /// Sends SIGTERM and waits until the program has taken notice.
-    pub async fn terminate(&mut self) {
+    /// Sends a signal and waits until the program's log says so.
+    async fn signal(&mut self, signal: &str, says: &str) {
         let id = self.child.id().expect("it runs").to_string();
-        let sent = soon(Command::new("kill").args(["-TERM", &id]).status()).await;
+        let sent = soon(Command::new("kill").args([signal, &id]).status()).await;
         assert!(sent.expect("kill runs").success());
-        while !soon(self.log.next_line()).await.expect("readable").expect("it goes on").contains("stopping") {
-        }
+        while !soon(self.log.next_line()).await.expect("readable").expect("it goes on").contains(says) {}
+    }
+
+    /// Sends SIGTERM and waits until the program has taken notice.
+    pub async fn terminate(&mut self) {
+        self.signal("-TERM", "stopping").await;
+    }
+
+    /// Replaces the configuration, sends SIGHUP, and waits until the log has a line that says what came of it.
+    pub async fn reload(&mut self, config: &str, says: &str) {
+        std::fs::write(&self.config, config).expect("the folder for tests takes a file");
+        self.signal("-HUP", says).await;
     }
 
     pub async fn ended(&mut self) -> ExitStatus {
