Callers: time limits, places by silence, bounded bodies and buffers, one id at a time, framing

Ruled out: CPU (0.5 s of 25 s) and memory (7 MB).

At fault, and mended: - front.rs, serve: accept stopped at full places until one had rested 1 s. It always accepts now and closes the one that has been silent longest, those never served first. Newcomers fill three quarters of the places at most. - HEAD 60 s and the caller's patience for bodies: 2 s each, the first request 2 s after the connect; rest is 60 s. - A transfer coding is turned down with 411 and a close: hyper (role.rs) takes a length beside it away on either side, so the handler can't tell the two together. "+5" is no deadline. Over 1 MB announced is not read at all. - The id of an open request gets 409 and touches nothing of the first. - limits.memory_mb bounds the bodies held (a quarter); hyper's buffers are 16 KB, heads hold 64 lines. - A backend's 4xx (but 408, 425, 429) is final at once, is not sent again, and says nothing of the backend. - A request behind another on its connection has its time from when its bytes were read, not from its turn.

32 descriptors are kept aside instead of 48.

--- a/src/bin/heathroad/backend.rs
+++ b/src/bin/heathroad/backend.rs
@@ -58,6 +58,8 @@
 pub enum End {
     /// With an answer to pass on.
     Served(Bytes),
+    /// Turned down as a request that no backend can use.
+    Rejected,
     /// Otherwise.
     Unserved(Outcome),
 }
@@ -67,6 +69,8 @@
     pub fn outcome(&self) -> Outcome {
         match self {
             End::Served(_) => Outcome::Ok,
+            // The request's fault: it says nothing of the backend, and another would say the same.
+            End::Rejected => Outcome::Cancelled,
             End::Unserved(outcome) => *outcome,
         }
     }
@@ -299,6 +303,11 @@
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if declined => {
             End::Unserved(Outcome::Full)
         }
+        // These speak of the moment and not of the request.
+        StatusCode::REQUEST_TIMEOUT | StatusCode::TOO_EARLY | StatusCode::TOO_MANY_REQUESTS => {
+            End::Unserved(Outcome::Error)
+        }
+        status if status.is_client_error() => End::Rejected,
         _ => End::Unserved(Outcome::Error),
     }
 }
--- a/src/bin/heathroad/config.rs
+++ b/src/bin/heathroad/config.rs
@@ -16,6 +16,8 @@
     pub seed: u64,
     /// How many descriptors the process may hold.
     pub sockets: usize,
+    /// How many bytes of memory it may use.
+    pub memory: usize,
     /// The list of backends as this proxy last had it.
     pub known: Option<Page>,
     /// The settings.
@@ -35,10 +37,13 @@
 #[derive(Deserialize)]
 struct Limits {
     sockets: usize,
+    memory_mb: usize,
 }
 
 /// Fewer descriptors than this leave no room for work.
 const MIN_SOCKETS: usize = 64;
+/// Less memory than this holds no work.
+const MIN_MEMORY_MB: usize = 8;
 
 /// Reads the environment and the file that it names.
 pub fn load() -> Result<Config, String> {
@@ -64,6 +69,7 @@
     let site = &facts.site;
     let wrong = [
         (file.limits.sockets < MIN_SOCKETS, "limits.sockets: too few to work with"),
+        (file.limits.memory_mb < MIN_MEMORY_MB, "limits.memory_mb: too little to work with"),
         (site.classes.iter().any(String::is_empty), "settings: classes: one has no name"),
         (site.tenants.iter().any(String::is_empty), "settings: tenants: one has no name"),
         (site.zones.is_empty(), "settings: localities: is missing or empty"),
@@ -80,6 +86,7 @@
         discovery: address("discovery", discovery.or(file.discovery))?,
         seed: u64::from_str_radix(&file.seed, 16).map_err(|e| format!("config: seed: {e}"))?,
         sockets: file.limits.sockets,
+        memory: file.limits.memory_mb.saturating_mul(1 << 20),
         known: file.known,
         facts,
     })
--- a/src/bin/heathroad/engine.rs
+++ b/src/bin/heathroad/engine.rs
@@ -339,8 +339,10 @@
             let Some(open) = s.requests.get_mut(&request) else { return };
             let Some(out) = open.attempts.get_mut(number).and_then(Option::take) else { return };
             let outcome = end.outcome();
-            if let End::Served(body) = end {
-                open.answer(Answer::Served(body));
+            match end {
+                End::Served(body) => open.answer(Answer::Served(body)),
+                End::Rejected => open.answer(Answer::Failed),
+                End::Unserved(_) => {}
             }
             let wait = out.sent.elapsed().as_secs_f64() * 1000.0;
             let event = resolved(request, number, out.backend, outcome, wait, &open.life);
--- a/src/bin/heathroad/front.rs
+++ b/src/bin/heathroad/front.rs
@@ -1,43 +1,192 @@
 //! The callers' side: takes requests, checks them, and writes each one's answer.
 
 use crate::backend::{Call, MAX_BODY};
-use crate::engine::{Answer, Engine, Incoming};
-use crate::stream::Watched;
+use crate::engine::{Answer, Engine, Incoming, millis};
+use crate::stream::{Progress, Watched};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming as Inflow};
-use hyper::header::{ALLOW, CONNECTION, HOST, HeaderMap, HeaderValue, RETRY_AFTER};
+use hyper::header::{ALLOW, CONNECTION, HOST, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use std::cell::Cell;
+use hyper_util::rt::TokioIo;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashSet};
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, interval, sleep, timeout_at};
 use turnshift::api::Effect;
 use turnshift::settings::Facts;
 
-/// A caller may take so long to send a request's head, and may be idle for so long before it.
-const HEAD: Duration = Duration::from_secs(60);
+/// A head must have come whole so long after its first byte, and a body after its head. A connection's first
+/// request must have come so long after the connect: whoever sends nothing, or sends for ever, is not waited for.
+const ARRIVE: Duration = Duration::from_secs(2);
+/// A connection may rest so long between requests, while places last.
+const REST: Duration = Duration::from_secs(60);
+/// How often callers are looked through for those that are late.
+const SWEEP: Duration = Duration::from_millis(250);
 /// Pause when nothing can be accepted.
 const STARVED: Duration = Duration::from_millis(10);
-/// Where places are short, a connection at rest for so long is closed.
-const REST: Duration = Duration::from_secs(1);
 /// Connections past the limit, taken only to be refused at once.
-const SPARE: usize = 32;
+pub const SPARE: usize = 16;
+/// Share of the places that callers may fill with requests who have not been served on their connection yet: a
+/// burst of requests that are worth nothing must leave room for the others.
+const NEWCOMERS: f64 = 0.75;
 /// A body longer than this is not read to its end.
 const MAX_UNREAD: usize = 16 * MAX_BODY;
 /// Longest time that a caller may say it waits.
 const MAX_PATIENCE_MS: u64 = 600_000;
+/// Longest head, and most lines in it. The buffer for both heads and bodies grows to this size.
+const MAX_HEAD: usize = 16 * 1024;
+const MAX_HEADERS: usize = 64;
+/// Who is refused for want of room is told to stay away so long, where that is told.
+const AWAY: f64 = 500.0;
 
 type Reply = Response<Full<Bytes>>;
 
+/// What has become of a caller's present request.
+#[derive(Clone, Copy, PartialEq)]
+enum Stage {
+    /// There is none, or its head has not come whole.
+    Rest,
+    /// Its body is being read.
+    Body,
+    /// It was taken, and is owed an answer.
+    Taken,
+}
+
+/// A caller's place.
+struct Seat {
+    stage: Cell<Stage>,
+    /// When it connected, or had its last answer.
+    since: Cell<Instant>,
+    /// It has had an answer of some kind.
+    answered: Cell<bool>,
+    /// It was served with what a backend made for it.
+    served: Cell<bool>,
+    progress: Rc<Progress>,
+    leaving: Cell<bool>,
+    leave: Notify,
+}
+
+impl Seat {
+    /// Whether closing its connection takes away nothing that was taken or answered.
+    fn spare(&self) -> bool {
+        self.stage.get() != Stage::Taken && !self.progress.unsent() && !self.leaving.get()
+    }
+    /// Whether it has had the time that it may take.
+    fn late(&self) -> bool {
+        let past = |since: Instant, most| since.elapsed() > most;
+        match (self.stage.get(), self.answered.get(), self.progress.speaks()) {
+            (Stage::Rest, false, _) => past(self.since.get(), ARRIVE),
+            (Stage::Rest, true, Some(speaks)) => past(speaks, ARRIVE),
+            (Stage::Rest, true, None) => past(self.since.get(), REST),
+            // These have limits of their own.
+            (Stage::Body | Stage::Taken, ..) => false,
+        }
+    }
+    fn close(&self) {
+        self.leaving.set(true);
+        self.leave.notify_one();
+    }
+}
+
+/// What callers hold of the proxy.
+#[derive(Default)]
+pub struct Room {
+    seats: RefCell<BTreeMap<u64, Rc<Seat>>>,
+    next: Cell<u64>,
+    /// Ids of the requests that are open.
+    ids: RefCell<HashSet<HeaderValue>>,
+    /// Requests that are owed an answer.
+    taken: Cell<usize>,
+    /// Bytes of their bodies.
+    bytes: Cell<usize>,
+}
+
+impl Room {
+    /// Makes room for one more: of those whose connection can be closed without loss the one that has been silent
+    /// longest, and before all others one that was never served.
+    fn shed(&self) -> bool {
+        let seats = self.seats.borrow();
+        let spare = seats.values().filter(|s| s.spare());
+        let longest = spare.min_by_key(|s| (s.served.get(), s.since.get()));
+        longest.inspect(|s| s.close()).is_some()
+    }
+
+    fn sweep(&self) {
+        self.seats.borrow().values().filter(|s| s.spare() && s.late()).for_each(|s| s.close());
+    }
+}
+
+/// A place that is given back when dropped.
+struct Seated {
+    room: Rc<Room>,
+    number: u64,
+    seat: Rc<Seat>,
+}
+
+impl Seated {
+    fn new(room: &Rc<Room>, progress: Rc<Progress>) -> Self {
+        let number = room.next.get();
+        room.next.set(number + 1);
+        let seat = Rc::new(Seat {
+            stage: Cell::new(Stage::Rest),
+            since: Cell::new(Instant::now()),
+            answered: Cell::new(false),
+            served: Cell::new(false),
+            progress,
+            leaving: Cell::new(false),
+            leave: Notify::new(),
+        });
+        room.seats.borrow_mut().insert(number, seat.clone());
+        Seated { room: room.clone(), number, seat }
+    }
+}
+
+impl Drop for Seated {
+    fn drop(&mut self) {
+        self.room.seats.borrow_mut().remove(&self.number);
+    }
+}
+
+/// An open request's id, and the bytes that its body holds.
+struct Held {
+    room: Rc<Room>,
+    id: HeaderValue,
+    bytes: usize,
+}
+
+impl Held {
+    /// None if a request with this id is open.
+    fn new(room: &Rc<Room>, id: &HeaderValue) -> Option<Held> {
+        let held = || Held { room: room.clone(), id: id.clone(), bytes: 0 };
+        room.ids.borrow_mut().insert(id.clone()).then(held)
+    }
+    /// Whether there is room for so many more bytes.
+    fn grow(&mut self, by: usize, most: usize) -> bool {
+        let all = self.room.bytes.get() + by;
+        if all <= most {
+            self.room.bytes.set(all);
+            self.bytes += by;
+        }
+        all <= most
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.room.ids.borrow_mut().remove(&self.id);
+        self.room.bytes.set(self.room.bytes.get() - self.bytes);
+    }
+}
+
 /// What is needed to read requests.
 pub struct Front {
     /// Decides them.
@@ -46,88 +195,114 @@
     pub facts: Facts,
     /// Most connections at once.
     pub connections: usize,
+    /// Most bytes in the bodies of open requests.
+    pub bodies: usize,
+    /// Who is there.
+    pub room: Rc<Room>,
 }
 
 impl Front {
     /// Accepts connections until `stop` is set; then closes them as they fall idle, and returns when the last
-    /// one is.
+    /// one is. Nobody is kept waiting in the system's queue, where requests may lie that are owed an answer: whom
+    /// there is no place for takes that of a caller that has long said nothing.
     pub async fn serve(self: Rc<Self>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
         let mut open = JoinSet::new();
         let closing = stop.clone();
-        let crowd = watch::Sender::new(());
+        let mut sweep = interval(SWEEP);
+        let present = || self.room.seats.borrow().len();
         while !*stop.borrow_and_update() {
-            let full = open.len() >= self.connections + SPARE;
+            let full = present() >= self.connections + SPARE;
             if full {
-                // Connections that are left in the system's queue hold requests that we owe an answer, and
-                // callers at rest may keep theirs for long: those make room.
-                crowd.send_replace(());
+                self.room.shed();
             }
             tokio::select! {
                 _ = stop.changed() => break,
-                () = sleep(STARVED), if full => {}
                 Some(_) = open.join_next() => {}
+                _ = sweep.tick() => self.room.sweep(),
                 accepted = listener.accept(), if !full => match accepted {
                     Ok((stream, _)) => {
-                        let crowded = open.len() >= self.connections;
-                        open.spawn_local(self.clone().connection(stream, closing.clone(), crowd.subscribe(), crowded));
+                        let crowded = present() >= self.connections && !self.room.shed();
+                        open.spawn_local(self.clone().connection(stream, closing.clone(), crowded));
+                        // Its place counts from now on.
+                        tokio::task::yield_now().await;
                     }
                     // No error ends the loop, out of descriptors or other: callers are waiting, and what is
                     // short comes free again.
-                    Err(_) => sleep(STARVED).await,
+                    Err(_) => {
+                        self.room.shed();
+                        sleep(STARVED).await;
+                    }
                 }
             }
         }
         drop(listener);
-        while open.join_next().await.is_some() {}
+        loop {
+            tokio::select! {
+                ended = open.join_next() => if ended.is_none() { return },
+                _ = sweep.tick() => self.room.sweep(),
+            }
+        }
     }
 
-    async fn connection(
-        self: Rc<Self>,
-        stream: TcpStream,
-        mut stop: watch::Receiver<bool>,
-        mut crowd: watch::Receiver<()>,
-        crowded: bool,
-    ) {
-        if stream.set_nodelay(true).is_err() {
+    async fn connection(self: Rc<Self>, stream: TcpStream, mut stop: watch::Receiver<bool>, crowded: bool) {
+        let delay = stream.set_nodelay(true);
+        let watched = Watched::new(TokioIo::new(stream));
+        let seated = Seated::new(&self.room, watched.progress());
+        let seat = &*seated.seat;
+        if delay.is_err() {
             return;
         }
-        let rests_since = Cell::new(Instant::now());
         let service = service_fn(async |request| {
-            let reply = self.answer(request, crowded).await;
-            rests_since.set(Instant::now());
+            let reply = self.answer(request, seat, crowded).await;
+            seat.stage.set(Stage::Rest);
+            seat.progress.listen();
+            seat.since.set(Instant::now());
+            seat.answered.set(true);
             reply
         });
         let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEAD)
-            .serve_connection(Watched::new(TokioIo::new(stream)), service);
+            .header_read_timeout(None)
+            .max_buf_size(MAX_HEAD)
+            .max_headers(MAX_HEADERS)
+            .serve_connection(watched, service);
         let mut connection = pin!(connection);
-        loop {
-            tokio::select! {
-                // However it ends, the caller is gone and its request, if any, was told so.
-                _ = connection.as_mut() => return,
-                _ = stop.wait_for(|stop| *stop) => break,
-                // Not the newest ones: their requests are on their way.
-                _ = crowd.changed() => if rests_since.get().elapsed() > REST { break },
-            }
+        tokio::select! {
+            // However it ends, the caller is gone and its request, if any, was told so.
+            _ = connection.as_mut() => return,
+            () = seat.leave.notified() => return,
+            _ = stop.wait_for(|stop| *stop) => {}
         }
         connection.as_mut().graceful_shutdown();
-        let _ = connection.await;
+        tokio::select! {
+            _ = connection => {}
+            () = seat.leave.notified() => {}
+        }
     }
 
-    async fn answer(&self, request: Request<Inflow>, crowded: bool) -> Result<Reply, Infallible> {
-        let received = Instant::now();
+    async fn answer(
+        &self,
+        request: Request<Inflow>,
+        seat: &Seat,
+        crowded: bool,
+    ) -> Result<Reply, Infallible> {
+        // A request that came behind another has waited for its turn since it was read.
+        let received = seat.progress.heard().unwrap_or_else(Instant::now);
+        seat.progress.listen();
         if request.uri().path() == "/health/ready" {
             let ready = self.engine.ready();
             return Ok(plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }));
         }
-        let mut reply = match self.read(request, received).await {
+        seat.stage.set(Stage::Body);
+        let mut reply = match self.read(request, seat, received).await {
             Err(reply) => *reply,
-            // Places are held by callers at rest too: what is refused is work past what can be carried.
-            Ok(_) if crowded && self.engine.owed() >= self.connections => {
-                write(Answer::Refused { retry_after: None })
+            Ok(_) if self.overrun(seat, crowded) => write(Answer::Refused { retry_after: self.away() }),
+            Ok((incoming, _held)) => {
+                seat.stage.set(Stage::Taken);
+                let _taken = Taken::new(&self.room);
+                let answer = self.engine.decide(incoming).await;
+                seat.served.set(seat.served.get() || matches!(answer, Answer::Served(_)));
+                write(answer)
             }
-            Ok(incoming) => write(self.engine.decide(incoming).await),
         };
         if crowded {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -135,13 +310,36 @@
         Ok(reply)
     }
 
+    /// Whether there is no room for one more request. Places are held by callers at rest too: what is refused is
+    /// work past what can be carried.
+    fn overrun(&self, seat: &Seat, crowded: bool) -> bool {
+        let (taken, most) = (self.room.taken.get(), self.connections);
+        let newcomers = (most as f64 * NEWCOMERS) as usize;
+        crowded && taken >= most || !seat.served.get() && taken >= newcomers
+    }
+
+    fn away(&self) -> Option<Duration> {
+        let caps = &self.facts.settings.caps;
+        caps.retry_after.then(|| millis(AWAY.min(caps.max_retry_after)))
+    }
+
     /// Reads a request whole, or says what is wrong with it.
-    async fn read(&self, request: Request<Inflow>, received: Instant) -> Result<Incoming, Box<Reply>> {
+    async fn read(
+        &self,
+        request: Request<Inflow>,
+        seat: &Seat,
+        received: Instant,
+    ) -> Result<(Incoming, Held), Box<Reply>> {
         let (head, body) = request.into_parts();
-        let wrong = |status| Box::new(plain(status));
+        let wrong = |status| Box::new(closing(status));
+        // The library takes a length beside a transfer coding away before it can be seen here, and what hides in
+        // such a body must not go on. Nobody needs the coding: bodies are short and their length is known.
+        if head.headers.contains_key(TRANSFER_ENCODING) {
+            return Err(wrong(StatusCode::LENGTH_REQUIRED));
+        }
         let name = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
         let class = self.facts.site.classes.iter().position(|c| c == name);
-        let class = class.ok_or_else(|| wrong(StatusCode::NOT_FOUND))?;
+        let class = class.ok_or_else(|| Box::new(plain(StatusCode::NOT_FOUND)))?;
         let bad = || wrong(StatusCode::BAD_REQUEST);
         let id = one(&head.headers, "req-id").ok_or_else(bad)?.clone();
         let tenants = &self.facts.site.tenants;
@@ -151,7 +349,8 @@
             owner => tenants.iter().position(|t| Some(t.as_str()) == owner).ok_or_else(bad)?,
         };
         let patience =
-            one(&head.headers, "req-deadline-ms").and_then(|d| d.to_str().ok()?.parse::<u64>().ok());
+            one(&head.headers, "req-deadline-ms").and_then(|d| d.to_str().ok()).filter(|d| digits(d));
+        let patience = patience.and_then(|d| d.parse::<u64>().ok());
         let patience = Duration::from_millis(patience.ok_or_else(bad)?.min(MAX_PATIENCE_MS));
         let key = one(&head.headers, "idempotency-key").cloned();
         let (method, keyed) = match self.facts.settings.classes[class].effect {
@@ -170,25 +369,42 @@
         }
         let about = head.uri.query().and_then(|q| q.split('&').find_map(|p| p.strip_prefix("k=")));
         let about = about.filter(|k| !k.is_empty()).map(str::to_string);
-        // A caller that stops half-way through its body is not waited for beyond its own patience.
-        let body = timeout_at(received + patience, collect(body)).await;
-        let body = body.unwrap_or(Err(StatusCode::REQUEST_TIMEOUT)).map_err(wrong)?;
+        // Of two requests with one id only the first can be told from its repeat.
+        let held = Held::new(&self.room, &id).ok_or_else(|| Box::new(plain(StatusCode::CONFLICT)));
+        let mut held = held?;
+        // A caller that stops half-way through its body is not waited for.
+        let begun = if seat.answered.get() { received } else { seat.since.get() };
+        let limit = (begun + ARRIVE).min(received + patience);
+        let body = timeout_at(limit, collect(body, &mut held, self.bodies)).await;
+        let body = match body.unwrap_or(Err(StatusCode::REQUEST_TIMEOUT)) {
+            Ok(body) => body,
+            Err(StatusCode::SERVICE_UNAVAILABLE) => {
+                return Err(Box::new(write(Answer::Refused { retry_after: self.away() })));
+            }
+            Err(status) => return Err(wrong(status)),
+        };
         let host = head.headers.get(HOST).cloned();
         let uri = head.uri.path_and_query().cloned().map(Uri::from).ok_or_else(bad)?;
         let call = Call { method, uri, host, id, key, body };
         let (class, tenant) = (class as u16, tenant as u16);
-        Ok(Incoming { call, class, tenant, key: about, received, patience })
+        Ok((Incoming { call, class, tenant, key: about, received, patience }, held))
     }
 }
 
 /// A body of bounded length. One that is somewhat too long is read to its end, so that the caller, which may
 /// be writing still, gets to read why it is turned down.
-async fn collect(mut body: Inflow) -> Result<Bytes, StatusCode> {
+async fn collect(mut body: Inflow, held: &mut Held, most: usize) -> Result<Bytes, StatusCode> {
     let (mut bytes, mut length) = (BytesMut::new(), 0);
+    if body.size_hint().lower() > MAX_UNREAD as u64 {
+        return Err(StatusCode::PAYLOAD_TOO_LARGE);
+    }
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|_| StatusCode::BAD_REQUEST)?.into_data() else { continue };
         length += data.len();
         if length <= MAX_BODY {
+            if !held.grow(data.len(), most) {
+                return Err(StatusCode::SERVICE_UNAVAILABLE);
+            }
             bytes.extend_from_slice(&data);
         } else if length > MAX_UNREAD {
             break;
@@ -197,6 +413,27 @@
     if length > MAX_BODY { Err(StatusCode::PAYLOAD_TOO_LARGE) } else { Ok(bytes.freeze()) }
 }
 
+/// A request that is owed an answer, counted.
+struct Taken<'a>(&'a Room);
+
+impl<'a> Taken<'a> {
+    fn new(room: &'a Room) -> Self {
+        room.taken.set(room.taken.get() + 1);
+        Taken(room)
+    }
+}
+
+impl Drop for Taken<'_> {
+    fn drop(&mut self) {
+        self.0.taken.set(self.0.taken.get() - 1);
+    }
+}
+
+/// Whether a text is a number without a sign.
+fn digits(text: &str) -> bool {
+    text.bytes().all(|b| b.is_ascii_digit())
+}
+
 /// A header that must come once, and not empty.
 fn one<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a HeaderValue> {
     let mut values = headers.get_all(name).iter();
@@ -209,6 +446,13 @@
     reply
 }
 
+/// An answer to what can't be used, after which nothing more is read.
+fn closing(status: StatusCode) -> Reply {
+    let mut reply = plain(status);
+    reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    reply
+}
+
 fn write(answer: Answer) -> Reply {
     match answer {
         Answer::Served(body) => Response::new(Full::new(body)),
--- a/src/bin/heathroad/main.rs
+++ b/src/bin/heathroad/main.rs
@@ -30,8 +30,10 @@
 /// How often kept connections are looked through for old ones.
 const SWEEP: Duration = Duration::from_secs(1);
 /// Descriptors that are neither callers' nor backends' connections: standard streams, the listener, the
-/// reactor, discovery, and connections that are taken only to be refused.
-const RESERVED: usize = 48;
+/// reactor, signals, discovery, and connections that are taken only to be refused.
+const RESERVED: usize = 16 + front::SPARE;
+/// The bodies of open requests may fill this part of the memory; the rest is for buffers, answers and the program.
+const BODIES: usize = 4;
 
 fn main() -> ExitCode {
     match start() {
@@ -83,7 +85,13 @@
         }
     });
     let (stop, stopped) = watch::channel(false);
-    let front = Front { engine: engine.clone(), facts: config.facts, connections: usable - usable / 2 };
+    let front = Front {
+        engine: engine.clone(),
+        facts: config.facts,
+        connections: usable - usable / 2,
+        bodies: config.memory / BODIES,
+        room: Rc::default(),
+    };
     let serving = spawn_local(Rc::new(front).serve(listener, stopped));
     loop {
         tokio::select! {
--- a/src/bin/heathroad/stream.rs
+++ b/src/bin/heathroad/stream.rs
@@ -1,5 +1,5 @@
-//! A stream that watches its own writes: whether a request got out whole, and whether the other side has
-//! stopped taking bytes.
+//! A stream that watches itself: whether a request got out whole, whether the other side has stopped taking
+//! bytes, and since when it speaks.
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
@@ -12,20 +12,39 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::time::{Sleep, sleep};
+use tokio::time::{Instant, Sleep, sleep};
 
 /// A silent machine resets nothing: a write that makes no headway for so long has failed.
 const STALL: Duration = Duration::from_secs(10);
 
-/// How far the request on a connection has got.
+/// How far the messages on a connection have got.
 #[derive(Default)]
 pub struct Progress {
     body_taken: Cell<bool>,
     begun: Cell<bool>,
     flushed: Cell<bool>,
+    unsent: Cell<bool>,
+    speaks: Cell<Option<Instant>>,
+    heard: Cell<Option<Instant>>,
 }
 
 impl Progress {
+    /// Whether something is written that the system has not taken yet.
+    pub fn unsent(&self) -> bool {
+        self.unsent.get()
+    }
+    /// When the other side was heard last.
+    pub fn heard(&self) -> Option<Instant> {
+        self.heard.get()
+    }
+    /// Since when the other side speaks, counted from the last `listen`.
+    pub fn speaks(&self) -> Option<Instant> {
+        self.speaks.get()
+    }
+    /// What comes from now on is something new.
+    pub fn listen(&self) {
+        self.speaks.set(None);
+    }
     /// A new request is about to be written.
     pub fn begin(&self) {
         self.body_taken.set(false);
@@ -96,6 +115,7 @@
     }
 
     fn wrote(&mut self, cx: &mut Context<'_>, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        self.progress.unsent.set(true);
         if result.is_pending() {
             let stalled = self.stalled.get_or_insert_with(|| Box::pin(sleep(STALL)));
             return stalled.as_mut().poll(cx).map(|()| Err(io::ErrorKind::TimedOut.into()));
@@ -114,7 +134,13 @@
         cx: &mut Context<'_>,
         buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if read.is_ready() {
+            let now = Instant::now();
+            self.progress.heard.set(Some(now));
+            self.progress.speaks.set(self.progress.speaks.get().or(Some(now)));
+        }
+        read
     }
 }
 
@@ -141,6 +167,7 @@
         if self.progress.begun.get() && self.progress.body_taken.get() {
             self.progress.flushed.set(true);
         }
+        self.progress.unsent.set(false);
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
