Backends: pools by process, spoilt answers given up at once, what lies behind an answer, places waited for; forget

backends that are gone

Seen in the capture: answers with a length too short (the rest of the body behind it), too long (they hang until the deadline), of 3 GB, with 60 KB of head, with chunks that can't be read; behind good answers a second copy or 52 bytes of noise, at once or 0.2 s later; 1xx heads ahead, which hyper passes over. Ruled out: status lines that can't be read and broken chunks, which hyper fails at once. Lines at fault, each mended: - backend.rs, read: any length was read up to 64 KiB, and a body was waited for as long as its request lasts. A length must be told once and fit, and a body that pauses 500 ms is spoilt: may have run, connection closed, nothing awaited. - exchange took a body's end for the answer's. What hyper read beyond it is looked at first: the start of another answer is none of the first's business, anything else is the rest of a body that was cut off. The two kinds of rest, noise and a cut body, can't be told apart when they come in one piece; both count as spoilt, never as served. - Reuse trusted what the reactor had seen. The first write of a request peeks at the socket (socket2, already in the tree); with bytes or an end there nothing is written and the request goes over another connection. - Pool by address: by process now, so that a new one inherits nothing and an old one's going closes nothing of it. - connect ended Moot without a place, six times in a row, then refused by number. It waits up to the connect limit while the oldest at rest or an overtaken attempt gives way. - engine.rs: ids and targets are forgotten once no list and no open request names them; new ids are not searched for.

--- a/src/bin/heathroad/backend.rs
+++ b/src/bin/heathroad/backend.rs
@@ -1,22 +1,26 @@
 //! The backends' side: a pool of kept connections, and attempts with what each ending means.
 
 use crate::stream::{Outgoing, Progress, Watched};
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
-use hyper::client::conn::http1::{SendRequest, handshake};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri, header};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::oneshot;
-use tokio::time::{Instant, sleep_until, timeout, timeout_at};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, oneshot};
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use turnshift::api::Outcome;
 
 /// Longest body that is passed on in either direction.
@@ -25,6 +29,13 @@
 const DRAIN: Duration = Duration::from_secs(5);
 /// Connections on which overtaken answers are awaited, as a share of all.
 const DRAIN_SHARE: usize = 4;
+/// A body that has begun and makes no headway for so long is not coming: its length doesn't fit.
+const PAUSE: Duration = Duration::from_millis(500);
+/// Once its answer is read a connection is free in no time, unless the request itself is still being written.
+const SETTLE: Duration = Duration::from_millis(50);
+/// Longest answer head, and most lines in it; the buffer for heads and bodies grows to this size.
+const MAX_HEAD: usize = 16 * 1024;
+const MAX_HEADERS: usize = 64;
 /// Kept connections are given up at this share of the time after which backends close them.
 const RETIRE: f64 = 0.5;
 
@@ -44,8 +55,10 @@
     pub body: Bytes,
 }
 
-/// Where a backend is reached, and since when it is known to drain or be gone.
+/// One process of a backend: where it is reached, and since when it is known to drain or be gone.
 pub struct Target {
+    /// Its place in the pool. Another process may be reached at the same address.
+    number: u64,
     /// Its address.
     pub dial: SocketAddr,
     /// When its process started, as discovery tells it.
@@ -93,9 +106,15 @@
 /// The connections to all backends.
 pub struct Pool {
     limits: Limits,
-    idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
-    open: Rc<Cell<usize>>,
+    targets: Cell<u64>,
+    /// By the target's number.
+    idle: RefCell<HashMap<u64, Vec<Idle>>>,
+    places: Arc<Semaphore>,
     draining: Rc<Cell<usize>>,
+    /// Most overtaken attempts whose answers are awaited.
+    draining_most: usize,
+    /// Tells one of the overtaken attempts that its place is needed.
+    give_way: Notify,
 }
 
 struct Idle {
@@ -107,6 +126,9 @@
 struct Link {
     sender: SendRequest<Outgoing>,
     progress: Rc<Progress>,
+    /// What was read and belongs to no answer, once the connection has ended.
+    leftover: Rc<RefCell<Bytes>>,
+    task: AbortHandle,
 }
 
 /// One of a limited number of places; given back when dropped.
@@ -130,12 +152,22 @@
 impl Pool {
     /// An empty pool.
     pub fn new(limits: Limits) -> Self {
-        Pool { limits, idle: RefCell::default(), open: Rc::default(), draining: Rc::default() }
+        let places = Arc::new(Semaphore::new(limits.connections));
+        let (targets, idle, draining) = (Cell::default(), RefCell::default(), Rc::default());
+        let draining_most = limits.connections / DRAIN_SHARE;
+        Pool { limits, targets, idle, places, draining, draining_most, give_way: Notify::new() }
     }
 
-    /// Closes what is idle to an address.
-    pub fn close(&self, dial: SocketAddr) {
-        self.idle.borrow_mut().remove(&dial);
+    /// A process to send to.
+    pub fn target(&self, dial: SocketAddr, born_ms: f64) -> Target {
+        let number = self.targets.get();
+        self.targets.set(number + 1);
+        Target { number, dial, born_ms, drained: Cell::new(None) }
+    }
+
+    /// Closes what is idle to a process.
+    pub fn close(&self, target: &Target) {
+        self.idle.borrow_mut().remove(&target.number);
     }
 
     /// Closes what has been idle for long. A backend closes idle connections too, and a request that crosses
@@ -149,10 +181,10 @@
     }
 
     /// The most recently used of those still open: the others may then grow old and be closed.
-    fn reuse(&self, dial: SocketAddr) -> Option<Link> {
+    fn reuse(&self, target: &Target) -> Option<Link> {
         let age = self.limits.idle.mul_f64(RETIRE);
         let mut idle = self.idle.borrow_mut();
-        let links = idle.get_mut(&dial)?;
+        let links = idle.get_mut(&target.number)?;
         while let Some(Idle { link, since }) = links.pop() {
             if link.sender.is_ready() && since.elapsed() < age {
                 return Some(link);
@@ -164,28 +196,40 @@
     fn keep(&self, target: &Target, link: Link) {
         if target.drained.get().is_none() && !link.sender.is_closed() {
             let idle = Idle { link, since: Instant::now() };
-            self.idle.borrow_mut().entry(target.dial).or_default().push(idle);
+            self.idle.borrow_mut().entry(target.number).or_default().push(idle);
         }
     }
 
     /// Closes the connection that has been idle longest, whosoever it is.
-    fn evict(&self) {
+    fn evict(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
-        let oldest = idle.iter().filter_map(|(dial, links)| Some((links.first()?.since, *dial))).min();
-        if let Some(links) = oldest.and_then(|(_, dial)| idle.get_mut(&dial)) {
-            links.remove(0);
-        }
+        let oldest = idle.iter().filter_map(|(number, links)| Some((links.first()?.since, *number))).min();
+        let links = oldest.and_then(|(_, number)| idle.get_mut(&number));
+        links.map(|links| links.remove(0)).is_some()
     }
 
-    async fn connect(&self, dial: SocketAddr) -> Result<Link, Outcome> {
-        let Some(place) = Place::take(&self.open, self.limits.connections) else {
-            // No descriptor to spare: that says nothing of the backend, and the request was never sent.
-            self.evict();
-            return Err(Outcome::Moot);
+    /// A place for a connection. Where none is left, somebody gives way who needs his less: that takes a moment,
+    /// which is waited for, since a request turned away for want of a place is turned away by number.
+    async fn place(&self) -> Result<OwnedSemaphorePermit, Outcome> {
+        let place = match self.places.clone().try_acquire_owned() {
+            Ok(place) => place,
+            Err(_) => {
+                if !self.evict() && self.draining.get() > 0 {
+                    self.give_way.notify_one();
+                }
+                let place = timeout(self.limits.connect, self.places.clone().acquire_owned()).await;
+                // Without one the request was never sent, and that says nothing of the backend.
+                place.ok().and_then(Result::ok).ok_or(Outcome::Moot)?
+            }
         };
-        if self.open.get() == self.limits.connections {
+        if self.places.available_permits() == 0 {
             self.evict();
         }
+        Ok(place)
+    }
+
+    async fn connect(&self, dial: SocketAddr) -> Result<Link, Outcome> {
+        let place = self.place().await?;
         let stream = match timeout(self.limits.connect, TcpStream::connect(dial)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(e)) if out_of_descriptors(&e) => return Err(Outcome::Moot),
@@ -194,13 +238,19 @@
         stream.set_nodelay(true).map_err(|_| Outcome::ConnectFailed)?;
         let watched = Watched::new(TokioIo::new(stream));
         let progress = watched.progress();
-        let (sender, connection) = handshake(watched).await.map_err(|_| Outcome::ConnectFailed)?;
-        tokio::task::spawn_local(async move {
+        let mut builder = Builder::new();
+        builder.max_buf_size(MAX_HEAD).max_headers(MAX_HEADERS);
+        let handshake = builder.handshake(watched).await;
+        let (sender, mut connection) = handshake.map_err(|_| Outcome::ConnectFailed)?;
+        let leftover = Rc::<RefCell<Bytes>>::default();
+        let left = leftover.clone();
+        let task = tokio::task::spawn_local(async move {
             let _place = place;
             // Its end shows at the sender, where it has a meaning.
-            let _ = connection.await;
+            let _ = poll_fn(|cx| connection.poll_without_shutdown(cx)).await;
+            left.replace(connection.into_parts().read_buf);
         });
-        Ok(Link { sender, progress })
+        Ok(Link { sender, progress, leftover, task: task.abort_handle() })
     }
 }
 
@@ -238,11 +288,15 @@
             Ok(()) = &mut cancelled => Outcome::Cancelled,
         };
         report(End::Unserved(given_up));
-        if written.get() && pool.limits.may_duplicate {
-            let most = pool.limits.connections / DRAIN_SHARE;
-            if let Some(_place) = Place::take(&pool.draining, most) {
-                // Whether it came or not, nobody waits for the answer itself.
-                let _ = timeout_at(Instant::now() + DRAIN, exchange).await;
+        if written.get()
+            && pool.limits.may_duplicate
+            && let Some(_place) = Place::take(&pool.draining, pool.draining_most)
+        {
+            // Whether it came or not, nobody waits for the answer itself.
+            tokio::select! {
+                _ = exchange => {}
+                () = sleep(DRAIN) => {}
+                () = pool.give_way.notified() => {}
             }
         }
     }
@@ -256,50 +310,88 @@
     not_past: Instant,
     written: Rc<Cell<bool>>,
 ) -> End {
-    let mut link = match pool.reuse(target.dial) {
-        Some(link) => link,
-        None => match pool.connect(target.dial).await {
-            Ok(link) => link,
-            Err(outcome) => return End::Unserved(outcome),
-        },
+    let (mut link, answer) = loop {
+        let (mut link, kept) = match pool.reuse(target) {
+            Some(link) => (link, true),
+            None => match pool.connect(target.dial).await {
+                Ok(link) => (link, false),
+                Err(outcome) => return End::Unserved(outcome),
+            },
+        };
+        // The connect may have begun before the backend was told to drain and ended long after: by then a send
+        // would break the drain. Half the grace leaves room for a late loop and a slow write.
+        if target.drained.get().is_some_and(|told| told.elapsed() > pool.limits.drain_grace / 2) {
+            return End::Unserved(Outcome::Moot);
+        }
+        let Some(request) = call.request(&link.progress, not_past) else {
+            return End::Unserved(Outcome::Moot);
+        };
+        written.set(true);
+        match link.sender.send_request(request).await {
+            Ok(answer) => break (link, answer),
+            // A kept connection that turned out to be closed, or to hold bytes that are no answer to this: not a
+            // byte of the request was written, so that it goes over another one.
+            Err(_) if kept && !link.progress.begun() => {}
+            // Only the connection knows whether the backend can have the whole request.
+            Err(_) if link.progress.whole() => return End::Unserved(Outcome::Reset),
+            Err(_) => return End::Unserved(Outcome::ConnectFailed),
+        }
     };
-    // The connect may have begun before the backend was told to drain and ended long after: by then a send
-    // would break the drain. Half the grace leaves room for a late loop and a slow write.
-    if target.drained.get().is_some_and(|told| told.elapsed() > pool.limits.drain_grace / 2) {
-        return End::Unserved(Outcome::Moot);
-    }
-    let Some(request) = call.request(&link.progress, not_past) else {
-        return End::Unserved(Outcome::Moot);
+    let sound = match read(answer).await {
+        Some(end) => settle(&mut link, end).await,
+        None => None,
     };
-    written.set(true);
-    let answer = match link.sender.send_request(request).await {
-        Ok(answer) => answer,
-        // Only the connection knows whether the backend can have the whole request.
-        Err(_) if link.progress.whole() => return End::Unserved(Outcome::Reset),
-        Err(_) => return End::Unserved(Outcome::ConnectFailed),
+    let Some((end, clean)) = sound else {
+        // Spoilt: the request may have run, and what is on this connection is of no use.
+        link.task.abort();
+        return End::Unserved(Outcome::Reset);
     };
-    let end = read(answer).await;
-    if end.outcome() != Outcome::Reset {
-        let (pool, target) = (pool.clone(), target.clone());
-        tokio::task::spawn_local(async move {
-            if link.sender.ready().await.is_ok() {
-                pool.keep(&target, link);
-            }
-        });
+    if clean {
+        pool.keep(target, link);
     }
     end
 }
 
-/// What an answer means.
-async fn read(answer: Response<hyper::body::Incoming>) -> End {
-    let (head, body) = answer.into_parts();
+/// Sees what came behind an answer before it counts. The HTTP library ends a body where its length says: if the
+/// length was too short, the rest of the body lies there, and the answer would be passed on cut off. A second
+/// answer behind the first is none of the first's business. Tells whether the connection is fit for the next
+/// request; nothing where the answer is spoilt.
+async fn settle(link: &mut Link, end: End) -> Option<(End, bool)> {
+    match timeout(SETTLE, link.sender.ready()).await {
+        Ok(Ok(())) => Some((end, true)),
+        Ok(Err(_)) => {
+            let rest = link.leftover.take();
+            let sound = rest.is_empty() || rest.starts_with(b"HTTP/1.");
+            sound.then_some((end, false))
+        }
+        Err(_) => Some((end, false)),
+    }
+}
+
+/// What an answer means; nothing if it is spoilt. Its length must be told, once, and be one that is allowed: what
+/// has none ends nowhere, and of two at most one is true.
+async fn read(answer: Response<Incoming>) -> Option<End> {
+    let (head, mut body) = answer.into_parts();
     let declined = head.headers.get("srv-declined").is_some_and(|v| v == "1");
+    let lengths = head.headers.get_all(header::CONTENT_LENGTH).iter().count();
+    let codings = head.headers.get_all(header::TRANSFER_ENCODING).iter().count();
+    let bodiless = matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    if lengths + codings != usize::from(!bodiless) && !(bodiless && lengths == 1)
+        || body.size_hint().lower() > MAX_BODY as u64
+    {
+        return None;
+    }
+    let mut bytes = BytesMut::new();
     // An answer that breaks off is none: the request may have run.
-    let Ok(body) = Limited::new(body, MAX_BODY).collect().await else {
-        return End::Unserved(Outcome::Reset);
-    };
-    match head.status {
-        StatusCode::OK => End::Served(body.to_bytes()),
+    while let Some(frame) = timeout(PAUSE, body.frame()).await.ok()? {
+        let Ok(data) = frame.ok()?.into_data() else { continue };
+        if bytes.len() + data.len() > MAX_BODY {
+            return None;
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Some(match head.status {
+        StatusCode::OK => End::Served(bytes.freeze()),
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if declined => {
             End::Unserved(Outcome::Full)
         }
@@ -309,7 +401,7 @@
         }
         status if status.is_client_error() => End::Rejected,
         _ => End::Unserved(Outcome::Error),
-    }
+    })
 }
 
 impl Call {
@@ -330,3 +422,45 @@
         request.body(Outgoing::new(self.body.clone(), progress.clone())).ok()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::AsyncReadExt;
+    use tokio::net::TcpListener;
+    use tokio::task::{LocalSet, spawn_local};
+
+    /// With a single place: an attempt that was overtaken holds it, then one at rest does.
+    #[tokio::test]
+    async fn a_place_for_a_connection_is_waited_for() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let dial = listener.local_addr().expect("bound");
+        let (connect, idle) = (Duration::from_secs(20), Duration::from_secs(60));
+        let (connections, may_duplicate) = (1, true);
+        let limits = Limits { connections, connect, idle, drain_grace: connect, may_duplicate };
+        let pool = Rc::new(Pool { draining_most: 1, ..Pool::new(limits) });
+        let tasks = LocalSet::new();
+        tasks
+            .run_until(async {
+                let target = Rc::new(pool.target(dial, 0.0));
+                let id = HeaderValue::from_static("1");
+                let uri = Uri::from_static("/look");
+                let call = Call { method: Method::GET, uri, host: None, id, key: None, body: Bytes::new() };
+                let (cancel, cancelled) = oneshot::channel();
+                let not_past = Instant::now() + connect;
+                let (call, target) = (Rc::new(call), target.clone());
+                let attempt = Attempt { call, target: target.clone(), not_past, cancelled };
+                let (report, reported) = oneshot::channel();
+                let report = |end: End| report.send(end.outcome()).expect("awaited");
+                spawn_local(attempt.run(pool.clone(), report));
+                let (mut backend, _) = listener.accept().await.expect("it came");
+                assert_ne!(backend.read(&mut [0; 1024]).await.expect("open"), 0);
+                cancel.send(()).expect("it is out");
+                assert_eq!(reported.await, Ok(Outcome::Cancelled));
+                let link = pool.connect(dial).await.expect("the overtaken one gives way");
+                pool.keep(&target, link);
+                assert!(pool.connect(dial).await.is_ok(), "the one at rest gives way");
+            })
+            .await;
+    }
+}
--- a/src/bin/heathroad/engine.rs
+++ b/src/bin/heathroad/engine.rs
@@ -5,7 +5,7 @@
 use crate::discovery::{Health, Host};
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -87,7 +87,6 @@
 }
 
 struct Out {
-    backend: BackendId,
     sent: Instant,
     cancel: Option<oneshot::Sender<()>>,
 }
@@ -95,8 +94,8 @@
 struct Open {
     call: Rc<Call>,
     life: Life,
-    /// Attempts by number; `None` once resolved.
-    attempts: Vec<Option<Out>>,
+    /// Attempts by number: where each went, and what it is while it is out.
+    attempts: Vec<(BackendId, Option<Out>)>,
 }
 
 impl Open {
@@ -108,14 +107,33 @@
         }
     }
     fn done(&self) -> bool {
-        matches!(self.life, Life::Over) && self.attempts.iter().all(Option::is_none)
+        matches!(self.life, Life::Over) && self.attempts.iter().all(|(_, out)| out.is_none())
+    }
+}
+
+/// A backend that the list names, or that an open request was sent to.
+struct Known {
+    name: String,
+    /// Whether the list names it.
+    listed: bool,
+    /// Its process, once it was ready.
+    target: Option<Rc<Target>>,
+}
+
+impl Known {
+    /// Nothing new goes to a backend from now on.
+    fn withdraw(&self, pool: &Pool) {
+        if let Some(target) = self.target.as_ref().filter(|t| t.drained.get().is_none()) {
+            target.drained.set(Some(Instant::now()));
+            pool.close(target);
+        }
     }
 }
 
 struct State {
     balancer: Balancer,
     ids: HashMap<String, BackendId>,
-    targets: HashMap<BackendId, Rc<Target>>,
+    backends: HashMap<BackendId, Known>,
     requests: HashMap<RequestId, Open>,
     next: RequestId,
     events: VecDeque<Event>,
@@ -144,7 +162,7 @@
         let state = State {
             balancer: Balancer::new(facts.settings.clone(), seed)?,
             ids: HashMap::new(),
-            targets: HashMap::new(),
+            backends: HashMap::new(),
             requests: HashMap::new(),
             next: 1,
             events: VecDeque::new(),
@@ -156,7 +174,8 @@
 
     /// Whether requests can be decided: some backend takes work.
     pub fn ready(&self) -> bool {
-        self.state.borrow().targets.values().any(|t| t.drained.get().is_none())
+        let takes = |k: &Known| k.target.as_ref().is_some_and(|t| t.drained.get().is_none());
+        self.state.borrow().backends.values().any(takes)
     }
 
     /// How many requests are owed an answer.
@@ -200,13 +219,33 @@
         let entries = {
             let s = &mut *self.state.borrow_mut();
             if kind != ListKind::Delta {
-                let named: Vec<BackendId> = hosts.iter().map(|h| s.id(&h.host)).collect();
-                let gone: Vec<_> = s.targets.keys().filter(|id| !named.contains(id)).copied().collect();
-                gone.into_iter().for_each(|id| s.withdraw(id, &self.pool));
+                s.backends.values_mut().for_each(|k| k.listed = false);
             }
-            hosts.into_iter().filter_map(|h| self.entry(s, h)).collect()
+            let entries = hosts.into_iter().filter_map(|h| self.entry(s, h)).collect();
+            s.backends.values().filter(|k| !k.listed).for_each(|k| k.withdraw(&self.pool));
+            entries
         };
         self.tell(Event::List { kind, entries });
+        self.forget_gone();
+    }
+
+    /// Forgets the backends that no list names, once no open request was sent to them: the module has let go of
+    /// such a backend too. Where backends are replaced by new ones all day, nothing may grow with their number.
+    pub fn forget_gone(&self) {
+        let s = &mut *self.state.borrow_mut();
+        if s.backends.values().all(|k| k.listed) {
+            return;
+        }
+        let attempts = s.requests.values().flat_map(|r| &r.attempts);
+        let named: HashSet<BackendId> = attempts.map(|(backend, _)| *backend).collect();
+        let ids = &mut s.ids;
+        s.backends.retain(|id, k| {
+            let stays = k.listed || named.contains(id);
+            if !stays {
+                ids.remove(&k.name);
+            }
+            stays
+        });
     }
 
     /// A call to discovery failed.
@@ -231,10 +270,10 @@
     }
 
     fn entry(&self, s: &mut State, h: Host) -> Option<Entry> {
-        let backend = s.id(&h.host);
+        let (backend, known) = s.known(&h.host);
+        known.listed = h.health != Health::Deleted;
         let Some(zone) = self.facts.site.zones.iter().position(|z| *z == h.site) else {
             if h.health == Health::Deleted {
-                s.withdraw(backend, &self.pool);
                 return Some(Entry { backend, phase: Phase::Gone, ..Entry::default() });
             }
             eprintln!("heathroad: discovery: {}: zone {:?} is unknown, passed over", h.host, h.site);
@@ -252,14 +291,12 @@
                 let born_ms = h.born_ms;
                 let same =
                     |t: &Rc<Target>| t.dial == dial && t.born_ms == born_ms && t.drained.get().is_none();
-                let same = s.targets.get(&backend).is_some_and(same);
-                if !same {
-                    s.withdraw(backend, &self.pool);
-                    let target = Target { dial, born_ms, drained: Cell::new(None) };
-                    s.targets.insert(backend, Rc::new(target));
+                if !known.target.as_ref().is_some_and(same) {
+                    known.withdraw(&self.pool);
+                    known.target = Some(Rc::new(self.pool.target(dial, born_ms)));
                 }
             }
-            _ => s.withdraw(backend, &self.pool),
+            _ => known.withdraw(&self.pool),
         }
         let (zone, started_at, weight, cell) = (zone as u16, h.born_ms.max(0.0), h.share.max(0.0), h.block);
         Some(Entry { backend, phase, zone, started_at, weight, cell })
@@ -289,7 +326,7 @@
             Action::Fail { request } => s.answer(request, Answer::Failed),
             Action::Cancel { request, attempt } => {
                 let open = s.requests.get_mut(&request);
-                let out = open.and_then(|r| r.attempts.get_mut(usize::from(attempt))?.as_mut());
+                let out = open.and_then(|r| r.attempts.get_mut(usize::from(attempt))?.1.as_mut());
                 if let Some(cancel) = out.and_then(|o| o.cancel.take()) {
                     // One that has just ended needs no cancel.
                     let _ = cancel.send(());
@@ -303,8 +340,8 @@
                 });
             }
             Action::Close { backend } => {
-                if let Some(target) = s.targets.get(&backend) {
-                    self.pool.close(target.dial);
+                if let Some(target) = s.backends.get(&backend).and_then(|k| k.target.as_ref()) {
+                    self.pool.close(target);
                 }
             }
             Action::Watch { on } => {
@@ -317,15 +354,15 @@
         let Some(open) = s.requests.get_mut(&request) else { return };
         let number = open.attempts.len();
         let sent = Instant::now();
-        let target = s.targets.get(&backend);
+        let target = s.backends.get(&backend).and_then(|k| k.target.as_ref());
         let within = number < self.facts.settings.caps.try_limit as usize;
         let Some(target) = target.filter(|_| within && matches!(open.life, Life::Owed(_))) else {
-            open.attempts.push(None);
+            open.attempts.push((backend, None));
             s.events.push_back(resolved(request, number, backend, Outcome::Moot, 0.0, &open.life));
             return;
         };
         let (cancel, cancelled) = oneshot::channel();
-        open.attempts.push(Some(Out { backend, sent, cancel: Some(cancel) }));
+        open.attempts.push((backend, Some(Out { sent, cancel: Some(cancel) })));
         let (call, target, not_past) = (open.call.clone(), target.clone(), self.clock.instant(not_past));
         let attempt = Attempt { call, target, not_past, cancelled };
         let (engine, pool) = (self.clone(), self.pool.clone());
@@ -337,7 +374,8 @@
         let event = {
             let s = &mut *self.state.borrow_mut();
             let Some(open) = s.requests.get_mut(&request) else { return };
-            let Some(out) = open.attempts.get_mut(number).and_then(Option::take) else { return };
+            let Some((backend, out)) = open.attempts.get_mut(number) else { return };
+            let (backend, Some(out)) = (*backend, out.take()) else { return };
             let outcome = end.outcome();
             match end {
                 End::Served(body) => open.answer(Answer::Served(body)),
@@ -345,7 +383,7 @@
                 End::Unserved(_) => {}
             }
             let wait = out.sent.elapsed().as_secs_f64() * 1000.0;
-            let event = resolved(request, number, out.backend, outcome, wait, &open.life);
+            let event = resolved(request, number, backend, outcome, wait, &open.life);
             s.forget(request);
             event
         };
@@ -372,26 +410,19 @@
 }
 
 impl State {
-    /// The module's number for a backend. It is made from the name, since every copy orders the backends by it:
-    /// the copies' subsets are to overlap evenly.
-    fn id(&mut self, host: &str) -> BackendId {
-        if let Some(&id) = self.ids.get(host) {
-            return id;
-        }
-        let mut id = hash(host) as BackendId;
-        while self.ids.values().any(|&taken| taken == id) {
-            id = id.wrapping_add(1);
-        }
-        self.ids.insert(host.to_string(), id);
-        id
-    }
-
-    /// Nothing new goes to a backend from now on.
-    fn withdraw(&mut self, backend: BackendId, pool: &Pool) {
-        if let Some(target) = self.targets.get(&backend).filter(|t| t.drained.get().is_none()) {
-            target.drained.set(Some(Instant::now()));
-            pool.close(target.dial);
-        }
+    /// A backend by its name, with the module's number for it. That is made from the name, since every copy orders
+    /// the backends by it: the copies' subsets are to overlap evenly.
+    fn known(&mut self, host: &str) -> (BackendId, &mut Known) {
+        let id = self.ids.get(host).copied().unwrap_or_else(|| {
+            let mut id = hash(host) as BackendId;
+            while self.backends.contains_key(&id) {
+                id = id.wrapping_add(1);
+            }
+            self.ids.insert(host.to_string(), id);
+            id
+        });
+        let new = || Known { name: host.to_string(), listed: false, target: None };
+        (id, self.backends.entry(id).or_insert_with(new))
     }
 
     fn answer(&mut self, request: RequestId, answer: Answer) {
@@ -429,3 +460,70 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::backend::Limits;
+    use tokio::task::LocalSet;
+
+    fn facts() -> Facts {
+        let text = r#"{"slotNo": 0, "peersTotal": 1, "tier": 0, "locality": 0, "localities": ["a"], "tick": 5.0,
+            "overShareWorth": 0.05, "discovery": "automatic", "tenants": [],
+            "classes": [{"name": "look", "aim": 1000.0, "points": 1.0, "semantics": "retryable", "group": "all",
+                         "window": 0.0}],
+            "caps": {"cancelling": true, "retryAfter": false, "maxRetryAfter": 0.0, "tryLimit": 3, "openCap": 10},
+            "guarantees": {"coldFrom": 0.1, "cold": 1000.0, "fallMultiple": 3.0}}"#;
+        turnshift::settings::parse(text.as_bytes()).expect("good settings")
+    }
+
+    fn host(name: &str, health: Health) -> Host {
+        let dial = Some("127.0.0.1:9".parse().expect("an address"));
+        let (host, site) = (name.to_string(), "a".to_string());
+        Host { host, dial, site, block: 0, health, share: 1.0, born_ms: 0.0 }
+    }
+
+    #[tokio::test]
+    async fn backends_that_are_gone_are_forgotten() {
+        let limit = Duration::from_secs(1);
+        let (connections, may_duplicate) = (4, true);
+        let limits = Limits { connections, connect: limit, idle: limit, drain_grace: limit, may_duplicate };
+        let (watching, _) = watch::channel(false);
+        let tasks = LocalSet::new();
+        tasks
+            .run_until(async {
+                let engine =
+                    Engine::new(facts(), 1, Rc::new(Pool::new(limits)), watching).expect("good settings");
+                for n in 0..100 {
+                    let (old, new) = (format!("s-{n}"), format!("s-{}", n + 1));
+                    if n % 2 == 0 {
+                        let hosts = vec![host(&old, Health::Deleted), host(&new, Health::Serving)];
+                        engine.list(ListKind::Delta, hosts);
+                    } else {
+                        engine.list(ListKind::Full, vec![host(&new, Health::Serving)]);
+                    }
+                    let s = engine.state.borrow();
+                    assert_eq!((s.ids.len(), s.backends.len()), (1, 1), "after {n}");
+                }
+                // One that an open request was sent to stays known until the request is closed.
+                let id = engine.state.borrow().ids["s-100"];
+                let call = Call {
+                    method: hyper::Method::GET,
+                    uri: hyper::Uri::from_static("/look"),
+                    host: None,
+                    id: hyper::header::HeaderValue::from_static("1"),
+                    key: None,
+                    body: Bytes::new(),
+                };
+                let life = Life::Over;
+                let open = Open { call: Rc::new(call), life, attempts: vec![(id, None)] };
+                engine.state.borrow_mut().requests.insert(7, open);
+                engine.list(ListKind::Full, vec![host("s-101", Health::Serving)]);
+                assert_eq!(engine.state.borrow().backends.len(), 2);
+                engine.state.borrow_mut().requests.clear();
+                engine.forget_gone();
+                assert_eq!(engine.state.borrow().backends.len(), 1);
+            })
+            .await;
+    }
+}
--- a/src/bin/heathroad/main.rs
+++ b/src/bin/heathroad/main.rs
@@ -27,7 +27,7 @@
 const LINGER: Duration = Duration::from_millis(500);
 /// So long after SIGTERM all that was taken must be answered; a kill may follow soon after.
 const LAST: Duration = Duration::from_millis(3300);
-/// How often kept connections are looked through for old ones.
+/// How often kept connections are looked through for old ones, and backends for those that are gone.
 const SWEEP: Duration = Duration::from_secs(1);
 /// Descriptors that are neither callers' nor backends' connections: standard streams, the listener, the
 /// reactor, signals, discovery, and connections that are taken only to be refused.
@@ -78,10 +78,12 @@
     let follow =
         move |engine, address| spawn_local(discovery::follow(engine, address, must_ask, wanted.clone()));
     let mut following = follow(engine.clone(), config.discovery);
+    let kept = engine.clone();
     spawn_local(async move {
         loop {
             sleep(SWEEP).await;
             pool.sweep();
+            kept.forget_gone();
         }
     });
     let (stop, stopped) = watch::channel(false);
--- a/src/bin/heathroad/stream.rs
+++ b/src/bin/heathroad/stream.rs
@@ -4,14 +4,18 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
+use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep};
 
 /// A silent machine resets nothing: a write that makes no headway for so long has failed.
@@ -20,6 +24,7 @@
 /// How far the messages on a connection have got.
 #[derive(Default)]
 pub struct Progress {
+    fresh: Cell<bool>,
     body_taken: Cell<bool>,
     begun: Cell<bool>,
     flushed: Cell<bool>,
@@ -47,10 +52,15 @@
     }
     /// A new request is about to be written.
     pub fn begin(&self) {
+        self.fresh.set(true);
         self.body_taken.set(false);
         self.begun.set(false);
         self.flushed.set(false);
     }
+    /// Whether a byte of the request was given to the system.
+    pub fn begun(&self) -> bool {
+        self.begun.get()
+    }
     /// Whether the request's last byte was given to the system. The HTTP library flushes a stream only once
     /// all that it has buffered is written, and by then it has taken the body.
     pub fn whole(&self) -> bool {
@@ -96,6 +106,20 @@
     }
 }
 
+/// A stream that can be asked whether something lies there to be read, or it was closed.
+pub trait Peek {
+    /// Whether it is so now, by the system's word.
+    fn unread(&self) -> bool;
+}
+
+impl Peek for TokioIo<TcpStream> {
+    fn unread(&self) -> bool {
+        // The reactor knows only what it was told when it last looked.
+        let seen = SockRef::from(self.inner()).peek(&mut [MaybeUninit::uninit()]);
+        !matches!(seen, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
 /// A stream that sees what is written to it.
 pub struct Watched<S> {
     stream: S,
@@ -128,6 +152,15 @@
     }
 }
 
+impl<S: Peek> Watched<S> {
+    /// Before the first byte of a request nothing may lie on its connection: a late second copy of the answer
+    /// before would be taken for the answer to this one.
+    fn check(&self) -> io::Result<()> {
+        let unclean = self.progress.fresh.replace(false) && self.stream.unread();
+        if unclean { Err(io::ErrorKind::InvalidData.into()) } else { Ok(()) }
+    }
+}
+
 impl<S: Read + Unpin> Read for Watched<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -144,8 +177,9 @@
     }
 }
 
-impl<S: Write + Unpin> Write for Watched<S> {
+impl<S: Write + Peek + Unpin> Write for Watched<S> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.check()?;
         let result = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.wrote(cx, result)
     }
@@ -155,6 +189,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.check()?;
         let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         self.wrote(cx, result)
     }
@@ -181,10 +216,15 @@
     use super::*;
     use hyper::Request;
     use hyper::client::conn::http1::handshake;
-    use hyper_util::rt::TokioIo;
-    use tokio::io::{AsyncReadExt, DuplexStream, duplex};
+    use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, duplex};
     use tokio::task::{LocalSet, spawn_local};
 
+    impl Peek for TokioIo<DuplexStream> {
+        fn unread(&self) -> bool {
+            false
+        }
+    }
+
     /// Sends a request with a body over a pipe, lets `other` do what it wants with the far end, and tells
     /// whether the request got out whole before the connection broke.
     async fn broken_after(body: usize, other: impl AsyncFnOnce(&mut DuplexStream)) -> bool {
@@ -239,4 +279,26 @@
         let write = std::future::poll_fn(|cx| Pin::new(&mut watched).poll_write(cx, &[0; 8]));
         assert_eq!(write.await.expect_err("nobody reads").kind(), io::ErrorKind::TimedOut);
     }
+
+    #[tokio::test]
+    async fn nothing_is_written_where_something_lies_unread() {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("bound");
+        let near = TcpStream::connect(addr).await.expect("it listens");
+        let (mut far, _) = listener.accept().await.expect("it came");
+        let mut watched = Watched::new(TokioIo::new(near));
+        let progress = watched.progress();
+        let mut write = async |fresh: bool| {
+            if fresh {
+                progress.begin();
+            }
+            std::future::poll_fn(|cx| Pin::new(&mut watched).poll_write(cx, b"request")).await
+        };
+        assert_eq!(write(true).await.expect("clean"), 7);
+        // A late answer, of which nobody here has been told. In the middle of a request it is no reason to stop.
+        far.write_all(b"late").await.expect("open");
+        assert_eq!(write(false).await.expect("it goes on"), 7);
+        assert_eq!(write(true).await.expect_err("unclean").kind(), io::ErrorKind::InvalidData);
+        assert!(!progress.begun());
+    }
 }
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -5,6 +5,7 @@
 use http_body_util::Full;
 use rig::*;
 use std::sync::Arc;
+use std::sync::atomic::Ordering::SeqCst;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -545,6 +546,92 @@
     assert_eq!(proxy.call("look").await.0, 200);
 }
 
+/// One scripted backend, and a proxy that knows no other.
+async fn scripted_scene(
+    bytes: impl Fn(usize) -> Option<[Vec<u8>; 2]> + Send + Sync + 'static,
+) -> (Scripted, Proxy, Discovery) {
+    let backend = scripted(bytes).await;
+    let discovery = Discovery::start(vec![line("a", backend.addr, "SERVING")]).await;
+    let proxy = Proxy::settled(&discovery, settings()).await;
+    (backend, proxy, discovery)
+}
+
+#[tokio::test]
+async fn a_spoilt_answer_is_given_up_at_once_and_may_have_run() {
+    let head = |headers: &str, body: &str| format!("HTTP/1.1 200 OK\r\n{headers}\r\n{body}");
+    let spoilt = [
+        head("", "goes on to the end"),
+        head("Content-Length: 4\r\nContent-Length: 4\r\n", "good"),
+        head("Content-Length: 4\r\nTransfer-Encoding: chunked\r\n", "4\r\ngood\r\n0\r\n\r\n"),
+        head("Content-Length: 3000000000\r\n", "it keeps coming"),
+        head("Content-Length: 65537\r\n", "it keeps coming"),
+        // Shorter than it says, and longer: what was left out lies behind it.
+        head("Content-Length: 10\r\n", "good"),
+        head("Content-Length: 2\r\n", "good"),
+        head("Transfer-Encoding: chunked\r\n", "4\r\ngood\r\nzz\r\n"),
+        head(&"X-Pad: pppppppppppppppppppppppp\r\n".repeat(3000), ""),
+        "HTTP/1.1 2x0 OK\r\nContent-Length: 4\r\n\r\ngood".to_string(),
+        "noise".to_string() + "\r\n\r\n",
+    ];
+    let count = spoilt.len();
+    let answers = spoilt.map(String::into_bytes);
+    let (backend, proxy, _discovery) =
+        scripted_scene(move |n| Some([answers.get(n)?.clone(), Vec::new()])).await;
+    for n in 0..count {
+        let start = Instant::now();
+        assert_eq!(proxy.call("once").await.0, 502, "spoilt answer {n} is neither served nor refused");
+        assert!(start.elapsed() < Duration::from_secs(4), "nothing is awaited on it");
+        soon(backend.open.subscribe().wait_for(|n| *n == 0)).await.expect("open");
+    }
+    assert_eq!(proxy.call("once").await, (200, "good".into()));
+    assert_eq!(backend.requests.load(SeqCst), count + 1, "none was sent again");
+}
+
+/// What comes behind a good answer is not the next request's, be it there already or late.
+#[tokio::test]
+async fn what_comes_behind_an_answer_never_answers_the_next_request() {
+    let answer = |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let hints = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n";
+    let bytes = move |n: usize| {
+        let one = answer(&format!("answer {n}"));
+        let (one, two) = match n % 4 {
+            0 => (one.clone() + &one, String::new()),
+            1 => (one.clone(), one),
+            2 => (one, "noise\r\n\r\n".to_string()),
+            _ => (hints.to_string() + &one, String::new()),
+        };
+        Some([one.into_bytes(), two.into_bytes()])
+    };
+    let (backend, proxy, _discovery) = scripted_scene(bytes).await;
+    let mut caller = proxy.caller().await;
+    for n in 0..24 {
+        assert_eq!(caller.call("once").await, (200, format!("answer {n}")));
+        if n % 4 != 3 {
+            // Such a connection is of no further use, once more came than belonged to the answer.
+            soon(backend.open.subscribe().wait_for(|n| *n == 0)).await.expect("open");
+        }
+    }
+    assert_eq!(backend.requests.load(SeqCst), 24);
+}
+
+#[tokio::test]
+async fn connections_belong_to_the_process_and_not_to_its_address() {
+    let orders = Arc::new(Orders::default());
+    let (a, other) = (Backend::start("a", &orders).await, Backend::start("b", &orders).await);
+    let discovery = Discovery::start(vec![line("old", a.addr, "SERVING")]).await;
+    let proxy = Proxy::settled(&discovery, settings()).await;
+    assert_eq!(proxy.call("once").await.0, 200);
+    // A new one at the address of one that has gone: it knows nothing of the connections of the other.
+    discovery.tell(vec![line("new", a.addr, "SERVING"), line("old", a.addr, "DRAINING")]).await;
+    a.all_closed().await;
+    assert_eq!(proxy.call("once").await.0, 200);
+    assert_eq!((a.total(), *a.open.borrow()), (2, 1));
+    // And the old one's going takes nothing from it.
+    discovery.tell(vec![line("new", a.addr, "SERVING"), other.line("DRAINING")]).await;
+    assert_eq!(proxy.call("once").await.0, 200);
+    assert_eq!((a.total(), *a.open.borrow()), (2, 1));
+}
+
 #[tokio::test]
 async fn it_is_ready_once_there_is_a_backend_and_odd_entries_are_passed_over() {
     let orders = Arc::new(Orders::default());
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -20,7 +20,7 @@
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::process::{Child, ChildStderr, Command};
 use tokio::sync::{Notify, watch};
@@ -158,6 +158,48 @@
     }
 }
 
+/// A backend that answers with bytes as they are: for the n-th request, counted over all its connections, those
+/// that `bytes` gives for it, the second part after a moment. It closes nothing, and serves where nothing is given.
+pub async fn scripted(bytes: impl Fn(usize) -> Option<[Vec<u8>; 2]> + Send + Sync + 'static) -> Scripted {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("bound");
+    let (count, open) = (Arc::new(AtomicUsize::new(0)), Arc::new(watch::Sender::new(0)));
+    let (requests, alive, bytes) = (count.clone(), open.clone(), Arc::new(bytes));
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let (count, alive, bytes) = (count.clone(), alive.clone(), bytes.clone());
+            tokio::spawn(async move {
+                alive.send_modify(|n| *n += 1);
+                let mut seen = Vec::new();
+                while stream.read_buf(&mut seen).await.is_ok_and(|n| n > 0) {
+                    // Requests of these tests have no body.
+                    if seen.ends_with(b"\r\n\r\n") {
+                        seen.clear();
+                        let plain =
+                            || [b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood".to_vec(), Vec::new()];
+                        let [one, two] = bytes(count.fetch_add(1, SeqCst)).unwrap_or_else(plain);
+                        let _ = stream.write_all(&one).await;
+                        if !two.is_empty() {
+                            tokio::time::sleep(Duration::from_millis(50)).await;
+                            let _ = stream.write_all(&two).await;
+                        }
+                    }
+                }
+                alive.send_modify(|n| *n -= 1);
+            });
+        }
+    });
+    Scripted { addr, requests, open }
+}
+
+pub struct Scripted {
+    pub addr: SocketAddr,
+    pub requests: Arc<AtomicUsize>,
+    /// Connections that are open now.
+    pub open: Arc<watch::Sender<usize>>,
+}
+
 pub fn line(host: &str, addr: SocketAddr, health: &str) -> Value {
     json!({"host": host, "dial": addr.to_string(), "site": "a", "class": "m", "block": 1,
            "health": health, "share": 1.0, "born_ms": 0})
