The limit begins at four calls a member of the subset

Ruled out: descriptors, CPU, connects (none failed). At fault: balancer.rs, on_list, OVERLAP * width. START is a figure of its own now.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -18,6 +18,7 @@
 const HOLD: [f64; 2] = [0.125, 0.5]; // share of the aim that a request is held: first tier, behind it
 const MIN_SUBSET: f64 = 5.0; // room for two picks when a member or two are out
 const OVERLAP: f64 = 2.0; // copies that share a backend at the least, so that none depends on a single one
+const START: f64 = 4.0; // calls per member that the limit begins at: too few refuse for seconds what could be served
 const CALLS_PER_MEMBER: f64 = 1.0; // own calls that a member carries before the subset widens
 const NARROW_PER_S: f64 = 0.03; // connections cost, so the subset does not follow every lull
 const HANG_MISSED: f64 = 8.0; // answers missed, by Little's law, before silence is a hang and not a pause
@@ -234,7 +235,7 @@
         }
         self.resize(0.0);
         if before == 0.0 {
-            self.limiter.total = self.limiter.total.max(OVERLAP * self.width);
+            self.limiter.total = self.limiter.total.max(START * self.width);
         }
     }
 
