The limit follows the size of the list both ways

Ruled out: errors, connects and full answers (none), the restarts of proxies (they come later). At fault: balancer.rs, on_list, which scaled the limit when the list shrank and never when it grew: 14 backends in turn leave 0.35 of it, and learning gives that back at half a window's pace.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -230,7 +230,8 @@
         self.ring = ready.map(|(&id, _)| id).collect();
         let after = self.ring.len() as f64;
         self.weight = self.ring.iter().map(|i| self.backends[i].entry.weight).sum::<f64>() / after.max(1.0);
-        if after < before && after > 0.0 {
+        // Both ways: where backends leave and return all day, one way alone would wear the limit down.
+        if before > 0.0 && after > 0.0 {
             self.limiter.total = (self.limiter.total * after / before).max(1.0);
         }
         self.resize(0.0);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -50,6 +50,19 @@
     assert!(after <= start + 1, "{start} at first, {after} after a quiet time");
 }
 
+/// A release takes each backend out and brings it back.
+#[test]
+fn limit_is_not_worn_down_by_backends_that_leave_and_return() {
+    let start = fill(&mut Proxy::new(plain(1), 1, entries(10)), 0, 0, 400);
+    let mut p = Proxy::new(plain(1), 1, entries(10));
+    for gone in 1..=10 {
+        let left: Vec<Entry> = entries(10).into_iter().filter(|e| e.backend != gone).collect();
+        p.list(ListKind::Full, left);
+        p.list(ListKind::Full, entries(10));
+    }
+    assert_eq!(fill(&mut p, 0, 0, 400), start);
+}
+
 #[test]
 fn limit_falls_when_answers_are_slow_and_many_are_dropped() {
     for (wait, outcome) in [(900.0, Outcome::Ok), (60.0, Outcome::Full)] {
