Calls that timed out or were withdrawn are load until their work has ended

Ruled out: errors and full answers (a handful), backends out of service (none), connects, descriptors (141 of 384).

Mend: the network code tells when the work of a given-up attempt ended; until then the module keeps its slot, counts it in picks, and judges the call by that end, so that late answers are samples and not time-outs. Both tests over loopback fail with the slot freed at once.

--- a/src/api.rs
+++ b/src/api.rs
@@ -100,6 +100,8 @@
     pub max_retry_after: f64,
     /// Most attempts for one request.
     pub try_limit: u32,
+    /// The proxy sees the work of attempts that were given up end, and tells of it by [`Event::Late`].
+    pub late_ends: bool,
 }
 
 /// Figures of the four rules.
@@ -244,6 +246,9 @@
     Request(Arrival),
     /// An attempt ended.
     Resolved(Resolved),
+    /// The work of an attempt that had timed out or was withdrawn has ended: with its answer, or unseen with its
+    /// connection, which repeats its outcome.
+    Late(Resolved),
     /// The client left; nothing more is owed.
     Hangup {
         /// The request.
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -177,6 +177,7 @@
             Event::List { kind, entries } => self.on_list(now, kind, entries, out),
             Event::Request(arrival) => self.on_request(now, &arrival, out),
             Event::Resolved(resolved) => self.on_resolved(now, &resolved, out),
+            Event::Late(resolved) => self.on_late(now, &resolved, out),
             Event::Hangup { request } => self.end(now, request, out),
             Event::Wake { token: HOUSEKEEPING } => self.housekeep(now, out),
             Event::Wake { token: ASK } => {
@@ -218,8 +219,9 @@
                 // A new process: nothing known of the old one holds. Copies that hear of it together begin
                 // its cold budget at different phases, so that their first sends do not meet.
                 let phase = (f64::from(self.s.copy) + f64::from(e.backend % 8191)) * 0.618_033_988_75;
-                let (calls, cold_tokens) = (std::mem::take(&mut b.calls), phase.fract());
-                *b = Backend { calls, slow: 1.0, heard: now, cold_tokens, ..Backend::default() };
+                let (calls, late) = (std::mem::take(&mut b.calls), std::mem::take(&mut b.late));
+                let cold_tokens = phase.fract();
+                *b = Backend { calls, late, slow: 1.0, heard: now, cold_tokens, ..Backend::default() };
             }
             let id = e.backend;
             b.entry = e;
@@ -379,7 +381,8 @@
         }
         b.calls.push_back((id, now));
         let (place, counted) = ((b.entry.zone, b.entry.cell), !b.ejected());
-        r.attempts.push(Attempt { backend: to, place, sent: now, out: true, never_ran: false, counted });
+        let (backend, sent) = (to, now);
+        r.attempts.push(Attempt { backend, place, sent, out: true, late: false, never_ran: false, counted });
         out.push(Action::Send { request: id, backend: to, not_past: r.deadline });
         let (class, slice) = (r.class, r.slice);
         if counted {
@@ -412,7 +415,9 @@
         let still: Vec<usize> = (0..r.attempts.len()).filter(|&i| r.attempts[i].out).collect();
         if still.is_empty() {
             let key = r.key;
-            self.requests.remove(&id);
+            if !r.attempts.iter().any(|a| a.late) {
+                self.requests.remove(&id);
+            }
             // Only the first in line can have been sent: its place is kept until all its outcomes are in.
             if let Some(line) = self.lines.get_mut(&key) {
                 line.turn &= line.ids.front() != Some(&id);
@@ -435,7 +440,13 @@
         {
             line.rest_until = now + self.s.rules.settle_after_doubt;
         }
-        let (sent, counted, class, slice) = (a.sent, a.counted, r.class, r.slice);
+        // A time-out or a withdrawal ends the wait and not the work. Where its end is seen, the call is load
+        // until then: were its slot free at once, callers with little patience, who leave or set short limits
+        // and ask again, would fill it anew each time, and the backends jam with what is in nobody's count.
+        // The same holds where proxies before this one restart or lose their connections. It can hurt where
+        // backends stop what is withdrawn and don't say so, or fall silent: `unpin` bounds that.
+        a.late = self.s.caps.late_ends && matches!(e.outcome, Outcome::Timeout | Outcome::Cancelled);
+        let (sent, late, counted, class, slice) = (a.sent, a.late, a.counted && !a.late, r.class, r.slice);
         let over = e.closed || r.ended;
         let (hold_until, free_move) = (r.hold_until, r.attempts.iter().all(|a| a.never_ran));
         let still_out = r.attempts.iter().any(|a| a.out);
@@ -443,7 +454,12 @@
         if counted {
             self.count(class, slice, -1.0);
         }
-        self.judge(now, e, class, sent);
+        if late && let Some(b) = self.backends.get_mut(&e.backend) {
+            b.calls.retain(|&call| call != (id, sent));
+            b.late.push_back((id, sent));
+        } else {
+            self.judge(now, e, class, sent);
+        }
         self.release(e.backend, out);
         if over {
             return self.end(now, id, out);
@@ -458,6 +474,21 @@
         self.finish(now, id, out);
     }
 
+    /// The work of a call that was given up has ended: it is judged by that.
+    fn on_late(&mut self, now: f64, e: &Resolved, out: &mut Vec<Action>) {
+        let Some(r) = self.requests.get_mut(&e.request) else { return };
+        let Some(a) = r.attempts.get_mut(usize::from(e.attempt)).filter(|a| a.late) else { return };
+        let (counted, sent, class, slice, ended) = (a.counted, a.sent, r.class, r.slice, r.ended);
+        (a.late, a.counted) = (false, false);
+        if counted {
+            self.count(class, slice, -1.0);
+        }
+        self.judge(now, e, class, sent);
+        if ended {
+            self.end(now, e.request, out);
+        }
+    }
+
     /// Another attempt, within the class's effect, the deadline and, for what may have run, the retry budget.
     fn resend(&mut self, now: f64, id: RequestId, free_move: bool, out: &mut Vec<Action>) -> bool {
         let r = &self.requests[&id];
@@ -495,7 +526,8 @@
         let b = &self.backends[&id];
         let slow = b.slow * (1.0 + ERROR_COST * b.error) / b.warmth(&self.s.rules, now);
         let crossing = if b.entry.zone != self.s.zone && self.s.goal.cross_zone > 0.0 { 0.5 } else { 0.0 };
-        (b.calls.len() as f64 * self.weight / b.entry.weight.max(0.01) + 1.0 + crossing) * slow
+        let calls = (b.calls.len() + b.late.len()) as f64;
+        (calls * self.weight / b.entry.weight.max(0.01) + 1.0 + crossing) * slow
     }
 
     /// Two random members of the subset that fit; the cheaper one. Past the subset only if none fits, and
@@ -526,6 +558,7 @@
         if let Some(i) = b.calls.iter().position(|&call| call == (e.request, sent)) {
             b.calls.remove(i);
         }
+        b.late.retain(|&call| call != (e.request, sent));
         let l = &mut self.limiter;
         if matches!(e.outcome, Outcome::Ok | Outcome::Error | Outcome::Full) {
             (b.heard, self.heard) = (now, now);
@@ -588,11 +621,15 @@
 
     /// Calls that have been out for so many means of their class count against the limit no longer.
     fn unpin(&mut self, now: f64, id: BackendId, means: f64) {
-        for (request, sent) in self.backends[&id].calls.clone() {
+        let b = &self.backends[&id];
+        for (request, sent) in b.calls.iter().chain(&b.late).copied().collect::<Vec<_>>() {
             let Some(r) = self.requests.get_mut(&request) else { continue };
             let (class, slice, l) = (r.class, r.slice, &self.limiter.classes[r.class]);
             let long = now - sent >= means * if l.samples < WINDOW { l.aim } else { l.mean };
-            let call = r.attempts.iter_mut().find(|a| a.backend == id && a.sent == sent && a.out && long);
+            let call = r
+                .attempts
+                .iter_mut()
+                .find(|a| a.backend == id && a.sent == sent && (a.out || a.late) && long);
             let counted = call.is_some_and(|a| std::mem::take(&mut a.counted));
             self.count(class, slice, -f64::from(u8::from(counted)));
         }
@@ -616,7 +653,11 @@
             self.finish(now, id, out);
         }
         self.lines.keys().copied().collect::<Vec<_>>().into_iter().for_each(|key| self.pass_turn(now, key));
-        let busy = self.backends.iter().filter(|(_, b)| !b.calls.is_empty()).map(|(&id, _)| id);
+        let busy = self
+            .backends
+            .iter()
+            .filter(|(_, b)| !b.calls.is_empty() || !b.late.is_empty())
+            .map(|(&id, _)| id);
         busy.collect::<Vec<_>>().into_iter().for_each(|id| self.unpin(now, id, PIN));
         self.free_held(now, true, out);
         // Cold budgets grow with what this copy's backends prove to bear, at the warmth surely reached.
--- a/src/bin/heathroad/backend.rs
+++ b/src/bin/heathroad/backend.rs
@@ -276,43 +276,31 @@
 impl Attempt {
     /// Carries the attempt out and reports its end, once. The connection of an attempt that was given up is
     /// kept for a while after that: here no backend stops its work, so that closing would spare nothing
-    /// and cost both sides a new connection.
-    ///
-    /// One whose time is up ends at once, since its request waits to go on. For one that was withdrawn nobody
-    /// waits, and its backend works on: it has ended when its answer has come or its connection is closed, and
-    /// is load until then. Were it reported at once, the decisions would fill its place with the next call, and
-    /// callers that leave and come again would pile work on backends that is in nobody's count. That covers
-    /// callers without patience, those that are cut off or restarted, and whole tiers of callers that give up.
-    /// It can hurt where a backend stops what is withdrawn and keeps the connection open: the place is then
-    /// held for up to `DRAIN`, or for as long as the decisions let a call pin one, whichever ends first.
-    pub async fn run(self, pool: Rc<Pool>, report: impl FnOnce(End)) {
+    /// and cost both sides a new connection. The backend works on, and is loaded by that: when the answer
+    /// has come after all, or the connection is closed, `late` tells of it, once.
+    pub async fn run(self, pool: Rc<Pool>, report: impl FnOnce(End), late: impl FnOnce(End)) {
         let Attempt { call, target, not_past, mut cancelled } = self;
         let written = Rc::new(Cell::new(false));
         let mut exchange = pin!(exchange(&pool, &call, &target, not_past, written.clone()));
-        let mut report = Some(report);
-        let mut ended = |end| {
-            if let Some(report) = report.take() {
-                report(end);
-            }
-        };
-        tokio::select! {
+        let given_up = tokio::select! {
             biased;
-            end = &mut exchange => return ended(end),
-            () = sleep_until(not_past) => ended(End::Unserved(Outcome::Timeout)),
-            Ok(()) = &mut cancelled => {}
+            end = &mut exchange => return report(end),
+            () = sleep_until(not_past) => Outcome::Timeout,
+            Ok(()) = &mut cancelled => Outcome::Cancelled,
         };
-        if written.get()
-            && pool.limits.may_duplicate
-            && let Some(_place) = Place::take(&pool.draining, pool.draining_most)
-        {
+        report(End::Unserved(given_up));
+        let unseen = End::Unserved(given_up);
+        let place = Place::take(&pool.draining, pool.draining_most);
+        late(if written.get() && pool.limits.may_duplicate && place.is_some() {
             // Whether it came or not, nobody waits for the answer itself.
             tokio::select! {
-                end = exchange => ended(end),
-                () = sleep(DRAIN) => {}
-                () = pool.give_way.notified() => {}
+                end = exchange => end,
+                () = sleep(DRAIN) => unseen,
+                () = pool.give_way.notified() => unseen,
             }
-        }
-        ended(End::Unserved(Outcome::Cancelled));
+        } else {
+            unseen
+        });
     }
 }
 
@@ -466,15 +454,15 @@
                 let attempt = Attempt { call, target: target.clone(), not_past, cancelled };
                 let (report, reported) = oneshot::channel();
                 let report = |end: End| report.send(end.outcome()).expect("awaited");
-                spawn_local(attempt.run(pool.clone(), report));
+                let (late, ended) = oneshot::channel();
+                let late = |end: End| late.send(end.outcome()).expect("awaited");
+                spawn_local(attempt.run(pool.clone(), report, late));
                 let (mut backend, _) = listener.accept().await.expect("it came");
                 assert_ne!(backend.read(&mut [0; 1024]).await.expect("open"), 0);
                 cancel.send(()).expect("it is out");
-                while pool.draining.get() == 0 {
-                    tokio::task::yield_now().await;
-                }
-                let link = pool.connect(dial).await.expect("the overtaken one gives way");
                 assert_eq!(reported.await, Ok(Outcome::Cancelled));
+                let link = pool.connect(dial).await.expect("the overtaken one gives way");
+                assert_eq!(ended.await, Ok(Outcome::Cancelled));
                 pool.keep(&target, link);
                 assert!(pool.connect(dial).await.is_ok(), "the one at rest gives way");
             })
--- a/src/bin/heathroad/engine.rs
+++ b/src/bin/heathroad/engine.rs
@@ -154,11 +154,12 @@
 impl Engine {
     /// Starts the module. What it asks of discovery comes through `watching`.
     pub fn new(
-        facts: Facts,
+        mut facts: Facts,
         seed: u64,
         pool: Rc<Pool>,
         watching: watch::Sender<bool>,
     ) -> Result<Rc<Self>, SettingsError> {
+        facts.settings.caps.late_ends = true;
         let state = State {
             balancer: Balancer::new(facts.settings.clone(), seed)?,
             ids: HashMap::new(),
@@ -366,7 +367,14 @@
         let (call, target, not_past) = (open.call.clone(), target.clone(), self.clock.instant(not_past));
         let attempt = Attempt { call, target, not_past, cancelled };
         let (engine, pool) = (self.clone(), self.pool.clone());
-        tokio::task::spawn_local(attempt.run(pool, move |end| engine.ended(request, number, end)));
+        let later = self.clone();
+        let late = move |end: End| {
+            // Whether it is still kept here or not, the request is over.
+            let wait = sent.elapsed().as_secs_f64() * 1000.0;
+            let (attempt, outcome) = (number as u8, end.outcome());
+            later.tell(Event::Late(Resolved { request, attempt, backend, outcome, wait, closed: true }));
+        };
+        tokio::task::spawn_local(attempt.run(pool, move |end| engine.ended(request, number, end), late));
     }
 
     /// An attempt ended. The first served answer goes to the caller by itself.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -64,6 +64,8 @@
 //! - Every event, in order, with a clock that only goes forward; a [`api::Event::Wake`] for every timer asked for.
 //! - One [`api::Event::Resolved`] for every [`api::Action::Send`], also after the request's end, and no later
 //!   than its `not_past`.
+//! - With [`api::Caps::late_ends`], one [`api::Event::Late`] for every attempt that was resolved as timed out or
+//!   cancelled, as soon as its work has ended or nothing more can be seen of it.
 //! - `closed` set once the request is over: the first served answer goes to the client by itself and ends it.
 //!
 //! Events about requests, attempts or backends that the copy does not know, or that are over, are passed over.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -217,6 +217,7 @@
             retry_after: f.caps.retry_after,
             max_retry_after: f.caps.max_retry_after,
             try_limit: f.caps.try_limit,
+            late_ends: false, // the embedding proxy knows
         },
         rules: api::Rules {
             cold_from: f.guarantees.cold_from,
--- a/src/state.rs
+++ b/src/state.rs
@@ -8,6 +8,7 @@
 pub struct Backend {
     pub entry: Entry,
     pub calls: VecDeque<(RequestId, f64)>,
+    pub late: VecDeque<(RequestId, f64)>, // given up, the work goes on
     pub heard: f64,
     pub slow: f64, // latency over its class's mean
     pub seen: f64,
@@ -23,6 +24,7 @@
     pub place: (u16, u16), // zone and cell
     pub sent: f64,
     pub out: bool,
+    pub late: bool, // given up, the work goes on
     pub never_ran: bool,
     pub counted: bool, // against the limit
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -18,7 +18,13 @@
         tick: 5.0,
         over_share_worth: 0.05,
         classes,
-        caps: Caps { cancelling: true, retry_after: true, max_retry_after: 2000.0, try_limit: 6 },
+        caps: Caps {
+            cancelling: true,
+            retry_after: true,
+            max_retry_after: 2000.0,
+            try_limit: 6,
+            late_ends: false,
+        },
         rules: Rules {
             cold_from: 0.12,
             cold: 20_000.0,
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -238,9 +238,9 @@
     assert_eq!(s.proxy.call("look").await.0, 200);
 }
 
-/// What callers leave behind runs on: until it ends it holds its place in the limit, and no call takes that.
-#[tokio::test]
-async fn what_callers_left_counts_until_its_answer_has_come() {
+/// What callers left or had no time to wait for runs on at its backend: until it ends it holds its place in the
+/// limit, and no further call takes that.
+async fn counts_until_its_answer_has_come(limit: &str, leave: bool) {
     let mut with_short_hold = settings();
     for class in with_short_hold["classes"].as_array_mut().expect("a list") {
         class["aim"] = 4000.0.into();
@@ -253,7 +253,7 @@
         s.orders.give([Do::Hold(release.clone())]);
         releases.push(release);
         let mut caller = TcpStream::connect(s.proxy.addr).await.expect("it listens");
-        let call = raw_request("GET /look", &callers.len().to_string(), "Req-Deadline-Ms: 60000");
+        let call = raw_request("GET /look", &callers.len().to_string(), limit);
         caller.write_all(call.as_bytes()).await.expect("open");
         tokio::select! {
             () = s.orders.came(callers.len() + 1) => callers.push(caller),
@@ -262,9 +262,16 @@
     }
     assert!(refusal.starts_with(b"HTTP/1.1 503"), "{}", String::from_utf8_lossy(&refusal));
     for mut caller in callers {
-        caller.shutdown().await.expect("open");
-        // Once its connection is closed the proxy knows that it left.
-        soon(caller.read_to_end(&mut Vec::new())).await.expect("a close");
+        let mut answer = Vec::new();
+        if leave {
+            caller.shutdown().await.expect("open");
+            // Once its connection is closed the proxy knows that it left.
+            soon(caller.read_to_end(&mut answer)).await.expect("a close");
+        } else {
+            // What is safe is refused when its time is up: to ask again is harmless.
+            assert_ne!(soon(caller.read_buf(&mut answer)).await.expect("open"), 0);
+            assert!(answer.starts_with(b"HTTP/1.1 503"), "{}", String::from_utf8_lossy(&answer));
+        }
     }
     let before = s.orders.seen.borrow().len();
     assert_eq!(s.proxy.call("look").await.0, 503, "{before} calls run still");
@@ -273,6 +280,16 @@
     soon(async { while s.proxy.call("look").await.0 != 200 {} }).await;
 }
 
+#[tokio::test]
+async fn what_callers_left_counts_until_its_answer_has_come() {
+    counts_until_its_answer_has_come("Req-Deadline-Ms: 60000", true).await;
+}
+
+#[tokio::test]
+async fn what_timed_out_counts_until_its_answer_has_come() {
+    counts_until_its_answer_has_come("Req-Deadline-Ms: 1500", false).await;
+}
+
 #[tokio::test]
 async fn a_request_is_failed_before_its_caller_gives_up_and_its_connection_is_kept() {
     let s = scene(settings()).await;
