--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -178,7 +178,15 @@
             Event::Request(arrival) => self.on_request(now, &arrival, out),
             Event::Resolved(resolved) => self.on_resolved(now, &resolved, out),
             Event::Late(resolved) => self.on_late(now, &resolved, out),
-            Event::Hangup { request } => self.end(now, request, out),
+            Event::Hangup { request } => {
+                // A client that leaves with time to spare asks again: its tenant, charged twice for what it
+                // wants once, would lose its own share to impatience. Not so for what was refused or out of
+                // time: who asks over and over with short limits would never be past its share.
+                if let Some(tenant) = self.requests.get_mut(&request).and_then(|r| r.paid.take()) {
+                    self.buckets[tenant].0 += 1.0;
+                }
+                self.end(now, request, out);
+            }
             Event::Wake { token: HOUSEKEEPING } => self.housekeep(now, out),
             Event::Wake { token: ASK } => {
                 self.asking = false;
@@ -282,7 +290,9 @@
         };
         let budget = self.retry_tokens + RETRY_SHARE;
         self.retry_tokens = budget.min(RETRY_DEPTH.max(self.limiter.total * RETRY_SHARE));
-        let over = self.s.tier == 0 && self.over_quota(now, usize::from(arrival.tenant));
+        let tenant = usize::from(arrival.tenant);
+        let over = self.s.tier == 0 && self.over_quota(now, tenant);
+        let paid = (self.s.tier == 0 && !over && tenant < self.buckets.len()).then_some(tenant);
         let slice = self.slice_of[class][usize::from(over)];
         let last = arrival.deadline - 2.0 * self.period();
         // Order: behind another request of its key it waits in that key's line and holds no slot.
@@ -298,7 +308,8 @@
         let hold = if free || behind { aim - self.limiter.mean } else { self.hold };
         let hold_until = (now + hold).min(last);
         let (deadline, attempts) = (arrival.deadline, Vec::new());
-        self.requests.insert(id, Request { key, class, slice, deadline, hold_until, ended: false, attempts });
+        let r = Request { key, class, slice, paid, deadline, hold_until, ended: false, attempts };
+        self.requests.insert(id, r);
         if free && self.send(now, id, out) {
             return;
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -34,6 +34,7 @@
     pub key: u64, // of an ordered class, else 0
     pub class: usize,
     pub slice: usize,
+    pub paid: Option<usize>, // the tenant whose quota it took
     pub deadline: f64,
     pub hold_until: f64,
     pub ended: bool,
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -238,15 +238,18 @@
     assert_eq!(s.proxy.call("look").await.0, 200);
 }
 
-/// What callers left or had no time to wait for runs on at its backend: until it ends it holds its place in the
-/// limit, and no further call takes that.
-async fn counts_until_its_answer_has_come(limit: &str, leave: bool) {
-    let mut with_short_hold = settings();
-    for class in with_short_hold["classes"].as_array_mut().expect("a list") {
+/// Settings under which a request past the limit is soon refused.
+fn with_short_hold() -> serde_json::Value {
+    let mut s = settings();
+    for class in s["classes"].as_array_mut().expect("a list") {
         class["aim"] = 4000.0.into();
     }
-    let s = scene(with_short_hold).await;
-    // Held calls until the limit is reached: the first past it is refused.
+    s
+}
+
+/// Calls that their backends hold, as many as the limit takes: the first past it is refused. With what releases
+/// each; the last is for the refused one's, which the next call gets.
+async fn fill(s: &Scene, limit: &str) -> (Vec<TcpStream>, Vec<Arc<Notify>>) {
     let (mut callers, mut releases, mut refusal) = (Vec::new(), Vec::new(), Vec::new());
     while refusal.is_empty() {
         let release = Arc::new(Notify::new());
@@ -261,18 +264,17 @@
         }
     }
     assert!(refusal.starts_with(b"HTTP/1.1 503"), "{}", String::from_utf8_lossy(&refusal));
-    for mut caller in callers {
-        let mut answer = Vec::new();
-        if leave {
-            caller.shutdown().await.expect("open");
-            // Once its connection is closed the proxy knows that it left.
-            soon(caller.read_to_end(&mut answer)).await.expect("a close");
-        } else {
-            // What is safe is refused when its time is up: to ask again is harmless.
-            assert_ne!(soon(caller.read_buf(&mut answer)).await.expect("open"), 0);
-            assert!(answer.starts_with(b"HTTP/1.1 503"), "{}", String::from_utf8_lossy(&answer));
-        }
-    }
+    (callers, releases)
+}
+
+/// Once its connection is closed the proxy knows that a caller left.
+async fn leave(mut caller: TcpStream) {
+    caller.shutdown().await.expect("open");
+    soon(caller.read_to_end(&mut Vec::new())).await.expect("a close");
+}
+
+/// While all that `fill` sent runs on though nobody waits, no further call goes through; once it has ended, one does.
+async fn counts_until_it_ends(s: &Scene, releases: &[Arc<Notify>]) {
     let before = s.orders.seen.borrow().len();
     assert_eq!(s.proxy.call("look").await.0, 503, "{before} calls run still");
     assert_eq!(s.orders.seen.borrow().len(), before);
@@ -282,12 +284,39 @@
 
 #[tokio::test]
 async fn what_callers_left_counts_until_its_answer_has_come() {
-    counts_until_its_answer_has_come("Req-Deadline-Ms: 60000", true).await;
+    let s = scene(with_short_hold()).await;
+    let (callers, releases) = fill(&s, "Req-Deadline-Ms: 60000").await;
+    for caller in callers {
+        leave(caller).await;
+    }
+    counts_until_it_ends(&s, &releases).await;
 }
 
 #[tokio::test]
 async fn what_timed_out_counts_until_its_answer_has_come() {
-    counts_until_its_answer_has_come("Req-Deadline-Ms: 1500", false).await;
+    let s = scene(with_short_hold()).await;
+    let (callers, releases) = fill(&s, "Req-Deadline-Ms: 1500").await;
+    for mut caller in callers {
+        // What is safe is refused when its time is up: to ask again is harmless.
+        let mut answer = Vec::new();
+        assert_ne!(soon(caller.read_buf(&mut answer)).await.expect("open"), 0);
+        assert!(answer.starts_with(b"HTTP/1.1 503"), "{}", String::from_utf8_lossy(&answer));
+    }
+    counts_until_it_ends(&s, &releases).await;
+}
+
+/// A tenant may have two requests in its share. When the caller of one leaves, the next is inside the share and goes
+/// through past the limit; the one after that is beyond the share again.
+#[tokio::test]
+async fn a_caller_that_leaves_gives_its_share_back() {
+    let mut small = with_short_hold();
+    small["tenants"][0]["quotaPerS"] = 0.001.into();
+    let s = scene(small).await;
+    let (mut callers, releases) = fill(&s, "Req-Deadline-Ms: 60000").await;
+    leave(callers.remove(0)).await;
+    releases.last().expect("one a call").notify_one();
+    assert_eq!(s.proxy.call("look").await.0, 200);
+    assert_eq!(s.proxy.call("look").await.0, 503);
 }
 
 #[tokio::test]
