A workspace of three packages; the daemon's counts, admin address and command line

Need: nobody could see what the daemon itself holds to have done, and the rehearsal kit that is to judge it needs a package of its own. discovery and engine imported each other.

Change: packages turnshift (with its drill), heathroad, heathroad-rehearsal (a stub yet). roster.rs holds the list's form, discovery hands on news and knows no engine. counts.rs counts requests by class, tenant and final answer, attempts, late ends, resends, drains and cold sends with prometheus-client, its counters looked up once per class and tenant; admin.rs tells them, off unless named, four connections of 10 s at most.

--- a/src/bin/heathroad/config.rs
+++ b/crates/heathroad/src/config.rs
@@ -1,9 +1,10 @@
 //! What the proxy is told at its start: the environment and the configuration file, checked.
 
-use crate::discovery::Page;
+use crate::roster::Page;
 use serde::Deserialize;
 use std::env;
 use std::net::SocketAddr;
+use std::path::Path;
 use turnshift::settings::{self, Facts};
 
 /// All that a start needs.
@@ -12,6 +13,8 @@
     pub listen: SocketAddr,
     /// Where discovery, or its agent, answers.
     pub discovery: SocketAddr,
+    /// Where operators ask for the counts, if anywhere.
+    pub admin: Option<SocketAddr>,
     /// Seed of the module's random numbers.
     pub seed: u64,
     /// How many descriptors the process may hold.
@@ -28,6 +31,7 @@
 struct File {
     listen: Option<String>,
     discovery: Option<String>,
+    admin: Option<String>,
     seed: String,
     limits: Limits,
     known: Option<Page>,
@@ -45,24 +49,48 @@
 /// Less memory than this holds no work.
 const MIN_MEMORY_MB: usize = 8;
 
+/// The addresses that the environment names; they go before the file's.
+#[derive(Default)]
+struct Named {
+    listen: Option<String>,
+    discovery: Option<String>,
+    admin: Option<String>,
+}
+
+impl Named {
+    fn by_environment() -> Self {
+        let name = |name| env::var(name).ok();
+        Named { listen: name("RELAY_LISTEN"), discovery: name("RELAY_DISCOVERY"), admin: name("RELAY_ADMIN") }
+    }
+}
+
 /// Reads the environment and the file that it names.
 pub fn load() -> Result<Config, String> {
-    let path = env::var("RELAY_CONFIG").map_err(|_| "RELAY_CONFIG is not set".to_string())?;
-    let text = std::fs::read(&path).map_err(|e| format!("RELAY_CONFIG: {path}: {e}"))?;
-    parse(&text, env::var("RELAY_LISTEN").ok(), env::var("RELAY_DISCOVERY").ok())
+    parse(&named_file()?, Named::by_environment())
 }
 
 /// Reads the file again for what may change while the program runs: where discovery is. Here the file goes before
 /// the environment, which still names the old address.
 pub fn reload() -> Result<SocketAddr, String> {
-    let path = env::var("RELAY_CONFIG").map_err(|_| "RELAY_CONFIG is not set".to_string())?;
-    let text = std::fs::read(&path).map_err(|e| format!("RELAY_CONFIG: {path}: {e}"))?;
     // It is checked as a whole: a file that no start would take is no reason to move.
-    parse(&text, env::var("RELAY_LISTEN").ok(), None).map(|config| config.discovery)
+    let named = Named { discovery: None, ..Named::by_environment() };
+    parse(&named_file()?, named).map(|config| config.discovery)
+}
+
+/// Reads any file as a start would.
+pub fn check(path: &Path) -> Result<Config, String> {
+    let text = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    parse(&text, Named::by_environment()).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+fn named_file() -> Result<Vec<u8>, String> {
+    let path = env::var("RELAY_CONFIG").map_err(|_| {
+        "RELAY_CONFIG is not set: it names the configuration file (see heathroad --help)".to_string()
+    })?;
+    std::fs::read(&path).map_err(|e| format!("RELAY_CONFIG: {path}: {e}"))
 }
 
-/// The environment's addresses, where given, go before the file's.
-fn parse(text: &[u8], listen: Option<String>, discovery: Option<String>) -> Result<Config, String> {
+fn parse(text: &[u8], named: Named) -> Result<Config, String> {
     let json = &mut serde_json::Deserializer::from_slice(text);
     let file: File = serde_path_to_error::deserialize(json).map_err(|e| format!("config: {e}"))?;
     let facts = settings::read(file.settings).map_err(|e| format!("config: {e}"))?;
@@ -82,8 +110,12 @@
         return Err(format!("config: {what}"));
     }
     Ok(Config {
-        listen: address("listen", listen.or(file.listen))?,
-        discovery: address("discovery", discovery.or(file.discovery))?,
+        listen: address("listen", named.listen.or(file.listen))?,
+        discovery: address("discovery", named.discovery.or(file.discovery))?,
+        admin: match named.admin.or(file.admin) {
+            Some(text) => Some(address("admin", Some(text))?),
+            None => None,
+        },
         seed: u64::from_str_radix(&file.seed, 16).map_err(|e| format!("config: seed: {e}"))?,
         sockets: file.limits.sockets,
         memory: file.limits.memory_mb.saturating_mul(1 << 20),
--- a/src/bin/heathroad/discovery.rs
+++ b/crates/heathroad/src/discovery.rs
@@ -1,14 +1,12 @@
 //! Discovery: the list of backends, and the watch on its changes.
 
-use crate::engine::Engine;
+use crate::roster::{Host, Page};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
-use serde::Deserialize;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -26,71 +24,18 @@
 /// Longest list.
 const MAX_LIST: usize = 8 << 20;
 
-/// A list, or changes to one.
-#[derive(Deserialize)]
-pub struct Page {
-    seq: u64,
-    whole: bool,
-    hosts: Vec<serde_json::Value>,
+/// What comes of following discovery.
+pub enum News {
+    /// A list of backends, or changes to it.
+    List(ListKind, Vec<Host>),
+    /// A call failed where the list must be asked for.
+    Failed,
 }
 
-/// An entry of a list.
-#[derive(Deserialize)]
-pub struct Host {
-    /// The backend's name.
-    pub host: String,
-    /// Its address; one that is gone needs none.
-    pub dial: Option<SocketAddr>,
-    /// Its zone.
-    #[serde(default)]
-    pub site: String,
-    /// Its cell.
-    #[serde(default)]
-    pub block: u16,
-    /// Whether it takes new work.
-    pub health: Health,
-    /// Its size beside the others'.
-    #[serde(default)]
-    pub share: f64,
-    /// When it started, Unix time in milliseconds; 0 for long ago.
-    #[serde(default)]
-    pub born_ms: f64,
-}
-
-/// Whether a backend takes new work.
-#[derive(Deserialize, Clone, Copy, PartialEq, Eq)]
-#[serde(rename_all = "UPPERCASE")]
-pub enum Health {
-    /// Takes work.
-    Serving,
-    /// Finishes its work.
-    Draining,
-    /// Gone.
-    Deleted,
-}
-
-impl Page {
-    /// Its entries; those that can't be read are logged in one line and passed over.
-    pub fn entries(self) -> Vec<Host> {
-        let (mut good, mut bad, mut example) = (Vec::new(), 0, String::new());
-        for value in self.hosts {
-            match Host::deserialize(&value) {
-                Ok(host) if host.health == Health::Deleted || host.dial.is_some() => good.push(host),
-                Ok(host) => (bad, example) = (bad + 1, format!("{}: no address", host.host)),
-                Err(e) => (bad, example) = (bad + 1, format!("{value}: {e}")),
-            }
-        }
-        if bad > 0 {
-            eprintln!("heathroad: discovery: {bad} entries passed over, such as {example}");
-        }
-        good
-    }
-}
-
-/// Follows discovery for ever. Where the list must be asked for, it does so when the module says so and tells
-/// it of failures; elsewhere it watches all the time.
+/// Follows discovery for ever and hands on what it hears. Where the list must be asked for, it does so when that
+/// is wanted and tells of failures; elsewhere it watches all the time.
 pub async fn follow(
-    engine: Rc<Engine>,
+    hear: impl Fn(News),
     address: SocketAddr,
     must_ask: bool,
     mut wanted: watch::Receiver<bool>,
@@ -110,7 +55,7 @@
                 let news = page.whole || !page.hosts.is_empty();
                 if news {
                     let kind = if page.whole { ListKind::Full } else { ListKind::Delta };
-                    engine.list(kind, page.entries());
+                    hear(News::List(kind, page.entries()));
                 } else if asked.elapsed() < LULL {
                     sleep(LULL).await;
                 }
@@ -122,7 +67,7 @@
                 link = None;
                 if must_ask {
                     // The module decides when to ask again.
-                    engine.list_failed();
+                    hear(News::Failed);
                 }
                 sleep(pause).await;
                 pause = (pause * 2).min(BACKOFF[1]);
--- a/src/bin/heathroad/front.rs
+++ b/crates/heathroad/src/front.rs
@@ -1,6 +1,7 @@
 //! The callers' side: takes requests, checks them, and writes each one's answer.
 
 use crate::backend::{Call, MAX_BODY};
+use crate::counts::Final;
 use crate::engine::{Answer, Engine, Incoming, millis};
 use crate::stream::{Progress, Watched};
 use bytes::{Bytes, BytesMut};
@@ -294,8 +295,14 @@
         }
         seat.stage.set(Stage::Body);
         let mut reply = match self.read(request, seat, received).await {
-            Err(reply) => *reply,
-            Ok(_) if self.overrun(seat, crowded) => write(Answer::Refused { retry_after: self.away() }),
+            Err(reply) => {
+                self.engine.counts().unusable(reply.status().as_u16());
+                *reply
+            }
+            Ok((incoming, _)) if self.overrun(seat, crowded) => {
+                self.engine.counts().answered(incoming.class, incoming.tenant, Final::Refused);
+                write(Answer::Refused { retry_after: self.away() })
+            }
             Ok((incoming, _held)) => {
                 seat.stage.set(Stage::Taken);
                 let _taken = Taken::new(&self.room);
--- a/src/bin/heathroad/main.rs
+++ b/crates/heathroad/src/main.rs
@@ -1,18 +1,25 @@
 //! heathroad: the balancer's decisions as a real proxy on sockets. Start, signals and wiring.
 
-#![forbid(unsafe_code)]
-
+mod admin;
 mod backend;
+mod cli;
 mod config;
+mod counts;
 mod discovery;
 mod engine;
 mod front;
+mod roster;
 mod stream;
 
 use backend::Pool;
+use clap::Parser;
+use cli::{Cli, Command};
 use config::Config;
+use discovery::News;
 use engine::{Engine, millis};
 use front::Front;
+use std::io::Write;
+use std::path::Path;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -35,16 +42,39 @@
 /// The bodies of open requests may fill this part of the memory; the rest is for buffers, answers and the program.
 const BODIES: usize = 4;
 
+/// The exit code for a file that `check` turns down; a failed start ends with 1.
+const BAD_INPUT: u8 = 2;
+
 fn main() -> ExitCode {
-    match start() {
+    let (done, code) = match Cli::parse().command {
+        None => (start(), ExitCode::FAILURE),
+        Some(Command::Check { file }) => (check(&file), ExitCode::from(BAD_INPUT)),
+    };
+    match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("heathroad: {e}");
-            ExitCode::FAILURE
+            code
         }
     }
 }
 
+fn check(file: &Path) -> Result<(), String> {
+    let config = config::check(file)?;
+    let site = &config.facts.site;
+    let mut stdout = std::io::stdout();
+    let said = writeln!(
+        stdout,
+        "{}: good: {} classes, {} tenants, listens on {}, discovery at {}",
+        file.display(),
+        site.classes.len(),
+        site.tenants.len(),
+        config.listen,
+        config.discovery
+    );
+    said.map_err(|e| format!("standard output: {e}"))
+}
+
 fn start() -> Result<(), String> {
     let config = config::load()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
@@ -56,7 +86,8 @@
     let mut terminated = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let mut reloaded = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     // Each request in work holds a connection on either side; kept ones fill what is left.
-    let usable = config.sockets - RESERVED;
+    let admin = if config.admin.is_some() { 1 + admin::CONNECTIONS } else { 0 };
+    let usable = config.sockets - RESERVED - admin;
     let site = &config.facts.site;
     let pool = Rc::new(Pool::new(backend::Limits {
         connections: usable / 2,
@@ -67,7 +98,7 @@
     }));
     let (watching, wanted) = watch::channel(false);
     let must_ask = config.facts.settings.must_ask;
-    let engine = Engine::new(config.facts.clone(), config.seed, pool.clone(), watching);
+    let engine = Engine::new(config.facts.clone(), config.seed, pool.clone(), config.sockets, watching);
     let engine = engine.map_err(|e| e.to_string())?;
     let known = config.known.map(|page| page.entries()).unwrap_or_default();
     engine.list(ListKind::Cached, known);
@@ -75,8 +106,19 @@
     let listener = listener.map_err(|e| format!("listen: {}: {e}", config.listen))?;
     let bound = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
     eprintln!("heathroad: listening on {bound}");
-    let follow =
-        move |engine, address| spawn_local(discovery::follow(engine, address, must_ask, wanted.clone()));
+    if let Some(address) = config.admin {
+        let listener = TcpListener::bind(address).await.map_err(|e| format!("admin: {address}: {e}"))?;
+        let bound = listener.local_addr().map_err(|e| format!("admin: {e}"))?;
+        eprintln!("heathroad: admin on {bound}");
+        spawn_local(admin::serve(listener, engine.clone()));
+    }
+    let follow = move |engine: Rc<Engine>, address| {
+        let hear = move |news| match news {
+            News::List(kind, hosts) => engine.list(kind, hosts),
+            News::Failed => engine.list_failed(),
+        };
+        spawn_local(discovery::follow(hear, address, must_ask, wanted.clone()))
+    };
     let mut following = follow(engine.clone(), config.discovery);
     let kept = engine.clone();
     spawn_local(async move {
@@ -118,5 +160,7 @@
     stop.send_replace(true);
     // All is answered by `LAST`; a caller that does not take its answer must not keep the program.
     let ended = timeout(LAST, serving).await;
+    // Whoever reads standard output may be gone; that is no reason to end otherwise.
+    let _ = writeln!(std::io::stdout(), "{}", engine.counts_json());
     ended.map_or(Ok(()), |served| served.map_err(|e| format!("front: {e}")))
 }
--- /dev/null
+++ b/crates/heathroad/tests/admin.rs
@@ -0,0 +1,194 @@
+//! What the started program tells of itself: counts that agree with what callers and backends saw, and the
+//! command line.
+
+mod rig;
+
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use rig::*;
+use serde_json::Value;
+use std::process::{Command, Output};
+use std::sync::Arc;
+use tokio::sync::Notify;
+
+/// Asks the admin address.
+async fn ask(addr: std::net::SocketAddr, method: &str, path: &str) -> (u16, String) {
+    let mut sender = connect(addr).await;
+    let request = Request::builder().method(method).uri(path).header("host", "admin");
+    let request = request.body(Full::default()).expect("well formed");
+    let answer = soon(sender.send_request(request)).await.expect("an answer");
+    let status = answer.status().as_u16();
+    let body = soon(answer.into_body().collect()).await.expect("a whole one").to_bytes();
+    (status, String::from_utf8(body.to_vec()).expect("text"))
+}
+
+async fn counts(addr: std::net::SocketAddr) -> Value {
+    let (status, text) = ask(addr, "GET", "/counts").await;
+    assert_eq!(status, 200);
+    serde_json::from_str(&text).expect("JSON")
+}
+
+/// How many requests of a class had an answer.
+fn requests(counts: &Value, class: &str, answer: &str) -> u64 {
+    let rows = counts["requests"].as_array().expect("rows");
+    let row = rows.iter().find(|r| r["class"] == class && r["answer"] == answer);
+    row.map_or(0, |r| r["count"].as_u64().expect("a number"))
+}
+
+async fn admin_proxy(discovery: &Discovery) -> (Proxy, std::net::SocketAddr) {
+    let mut config = discovery.config(settings());
+    config["admin"] = "127.0.0.1:0".into();
+    let (proxy, admin) = Proxy::start_with_admin(&config).await;
+    discovery.settled().await;
+    (proxy, admin)
+}
+
+#[tokio::test]
+async fn counts_agree_with_what_was_seen_outside() {
+    let orders = Arc::new(Orders::default());
+    let (a, b) = (Backend::start("a", &orders).await, Backend::start("b", &orders).await);
+    let discovery = Discovery::start(vec![a.line("SERVING"), b.line("SERVING")]).await;
+    let (mut proxy, admin) = admin_proxy(&discovery).await;
+    for _ in 0..3 {
+        assert_eq!(proxy.call("look").await.0, 200);
+    }
+    // One declined and sent again, one failed without, one that its caller leaves, one that can't be used.
+    orders.give([Do::Decline(503)]);
+    assert_eq!(proxy.call("once").await.0, 200);
+    orders.give([Do::Answer(500)]);
+    assert_eq!(proxy.call("once").await.0, 502);
+    let hold = Arc::new(Notify::new());
+    orders.give([Do::Hold(hold.clone())]);
+    let mut caller = proxy.caller().await;
+    let left = tokio::spawn(async move { caller.call("keep").await });
+    orders.came(7).await;
+    left.abort();
+    assert_eq!(proxy.call("nothing").await.0, 404);
+    let seen = soon(async {
+        loop {
+            let seen = counts(admin).await;
+            if requests(&seen, "keep", "left") == 1 {
+                break seen;
+            }
+        }
+    })
+    .await;
+    assert_eq!(requests(&seen, "look", "served"), 3);
+    assert_eq!((requests(&seen, "once", "served"), requests(&seen, "once", "failed")), (1, 1));
+    assert_eq!(seen["requests"].as_array().expect("rows").len(), 4, "{seen}");
+    assert_eq!(seen["requests"][0]["tenant"], "acme");
+    let attempts = &seen["attempts"];
+    let ended = |outcome: &str| attempts[outcome].as_u64().expect("a number");
+    assert_eq!((ended("served"), ended("declined"), ended("error"), ended("cancelled")), (4, 1, 1, 1));
+    assert_eq!((&seen["resends"]["declined"], &seen["unusable"]["404"]), (&1.into(), &1.into()));
+    assert_eq!(seen["requests_open"], 0);
+    assert!(seen["descriptors"].as_u64().expect("a number") > 5);
+    assert_eq!(seen["descriptors_max"], 256);
+    assert!(seen["limit"].as_f64().expect("a number") >= 1.0);
+
+    discovery.tell(vec![a.line("DRAINING"), b.line("SERVING")]).await;
+    let (_, text) = ask(admin, "GET", "/metrics").await;
+    for line in [
+        r#"heathroad_requests_total{class="look",tenant="acme",answer="served"} 3"#,
+        r#"heathroad_attempts_total{outcome="declined"} 1"#,
+        r#"heathroad_drains_total{notice="draining"} 1"#,
+        "heathroad_descriptors_max 256",
+        "# EOF",
+    ] {
+        assert!(text.lines().any(|l| l == line), "{line} is not in {text}");
+    }
+    hold.notify_one();
+
+    // The same at a planned stop, as the last line of standard output.
+    proxy.terminate().await;
+    assert!(proxy.ended().await.success());
+    let last: Value = serde_json::from_str(&proxy.last_words().await).expect("JSON");
+    assert_eq!(last["requests"], seen["requests"]);
+    assert_eq!(last["drains"]["draining"], 1);
+}
+
+#[tokio::test]
+async fn sends_to_a_cold_backend_are_counted() {
+    let orders = Arc::new(Orders::default());
+    let (a, b) = (Backend::start("a", &orders).await, Backend::start("b", &orders).await);
+    let unix = std::time::SystemTime::UNIX_EPOCH.elapsed().expect("after 1970").as_millis() as u64;
+    let mut cold = a.line("SERVING");
+    cold["born_ms"] = unix.into();
+    let discovery = Discovery::start(vec![cold, b.line("SERVING")]).await;
+    let (proxy, admin) = admin_proxy(&discovery).await;
+    // What the warm one bears gives the cold one its budget.
+    soon(async {
+        while orders.by("a") == 0 {
+            assert_eq!(proxy.call("look").await.0, 200);
+        }
+    })
+    .await;
+    let seen = counts(admin).await;
+    assert_eq!(seen["cold_sends"], orders.by("a"));
+    assert_eq!(seen["attempts"]["served"], orders.by("a") + orders.by("b"));
+}
+
+#[tokio::test]
+async fn the_admin_address_answers_nothing_else_and_bounds_its_callers() {
+    let discovery = Discovery::start(vec![]).await;
+    let (_proxy, admin) = admin_proxy(&discovery).await;
+    assert_eq!(ask(admin, "GET", "/other").await.0, 404);
+    assert_eq!(ask(admin, "POST", "/counts").await.0, 405);
+    // Four that say nothing hold all its places, for some seconds and not for ever.
+    let mut silent = Vec::new();
+    for _ in 0..4 {
+        silent.push(soon(tokio::net::TcpStream::connect(admin)).await.expect("it listens"));
+    }
+    assert_eq!(ask(admin, "GET", "/counts").await.0, 200);
+}
+
+fn run(args: &[&str]) -> Output {
+    let program = env!("CARGO_BIN_EXE_heathroad");
+    let mut command = Command::new(program);
+    command.args(args).env_remove("RELAY_CONFIG").env_remove("RELAY_LISTEN").env_remove("RELAY_DISCOVERY");
+    command.output().expect("it starts")
+}
+
+#[test]
+fn the_command_line_answers() {
+    let help = run(&["--help"]);
+    assert!(help.status.success());
+    assert!(String::from_utf8_lossy(&help.stdout).contains("RELAY_CONFIG"));
+    let version = run(&["--version"]);
+    assert_eq!(
+        String::from_utf8_lossy(&version.stdout),
+        concat!("heathroad ", env!("CARGO_PKG_VERSION"), "\n")
+    );
+    assert_eq!(run(&["nonsense"]).status.code(), Some(2));
+    let bare = run(&[]);
+    assert_eq!(bare.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&bare.stderr).contains("RELAY_CONFIG is not set"));
+}
+
+#[test]
+fn a_configuration_is_checked_without_a_start() {
+    let config = |change: &dyn Fn(&mut Value)| {
+        let mut config = serde_json::json!({
+            "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "1",
+            "limits": {"memory_mb": 32, "sockets": 256}, "settings": settings()
+        });
+        change(&mut config);
+        write_config(&config.to_string())
+    };
+    let good = config(&|_| {});
+    let good = run(&["check", good.to_str().expect("text")]);
+    assert!(good.status.success(), "{}", String::from_utf8_lossy(&good.stderr));
+    assert!(String::from_utf8_lossy(&good.stdout).contains("3 classes, 1 tenants"));
+    type Change<'a> = &'a dyn Fn(&mut Value);
+    let changes: [(Change, &str); 3] = [
+        (&|c| c["limits"]["sockets"] = 3.into(), "limits.sockets"),
+        (&|c| c["settings"]["classes"][1]["aim"] = "soon".into(), "classes[1].aim"),
+        (&|c| c["admin"] = "nowhere".into(), "admin: nowhere"),
+    ];
+    for (change, says) in changes {
+        let bad = run(&["check", config(change).to_str().expect("text")]);
+        let text = String::from_utf8_lossy(&bad.stderr).into_owned();
+        assert_eq!(bad.status.code(), Some(2));
+        assert!(text.contains(says) && text.lines().count() == 1, "{text}");
+    }
+}
--- a/src/api.rs
+++ b/crates/turnshift/src/api.rs
@@ -3,6 +3,7 @@
 //! Times and durations are milliseconds as `f64`; the clock is whatever the embedding proxy passes
 //! to [`Balancer::handle`](crate::Balancer::handle), starts anywhere and only goes forward.
 
+use serde::Serialize;
 use std::fmt;
 
 /// Identifies a client request at one copy; never reused.
@@ -311,6 +312,28 @@
     },
 }
 
+/// What a copy's limit stands at. It is for those who watch; nothing is decided by it.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct Load {
+    /// The learned total.
+    pub limit: f64,
+    /// Calls counted against it.
+    pub in_flight: f64,
+    /// Its slices, most worth first.
+    pub slices: Vec<SliceLoad>,
+}
+
+/// What a slice of the limit stands at.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct SliceLoad {
+    /// Its own limit.
+    pub limit: f64,
+    /// Its calls in flight.
+    pub busy: f64,
+    /// Requests held for it.
+    pub held: usize,
+}
+
 /// Why settings were turned down.
 #[derive(Debug, Clone, PartialEq)]
 pub struct SettingsError {
--- a/src/balancer.rs
+++ b/crates/turnshift/src/balancer.rs
@@ -1,5 +1,5 @@
 //! Every decision of a balancer copy: one learned concurrency limit, split into slices by worth, over a
-//! load-sized subset of the tier. The interface (settings, events, actions) is in `src/api.rs`.
+//! load-sized subset of the tier. The interface (settings, events, actions) is in `api.rs`.
 
 use crate::api::*;
 use crate::state::{Attempt, Backend, Latency, Limiter, Line, Request, Slice};
@@ -96,6 +96,11 @@
     }
 }
 
+/// A slice's own limit, by the design's formula.
+fn own_limit(total: f64, share: f64) -> f64 {
+    (total * share).ceil().max(1.0)
+}
+
 /// One balancer copy. See the crate's documentation for how a proxy drives it.
 #[derive(Default)]
 pub struct Balancer {
@@ -197,6 +202,14 @@
         self.free_held(now, false, out);
     }
 
+    /// What the limit stands at, for those who watch.
+    pub fn load(&self) -> Load {
+        let limit = self.limiter.total;
+        let own = |s: &Slice| own_limit(limit.floor(), s.share);
+        let slice = |s: &Slice| SliceLoad { limit: own(s), busy: s.busy, held: s.held.len() };
+        Load { limit, in_flight: self.inflight, slices: self.slices.iter().map(slice).collect() }
+    }
+
     fn period(&self) -> f64 {
         (self.s.tick * HOUSE_TICKS).max(1.0)
     }
@@ -349,7 +362,7 @@
     /// The design's rule: refused unsent only past both the total and the slice's own limit.
     fn admits(&self, slice: usize) -> bool {
         let (s, total) = (&self.slices[slice], self.limiter.total.floor());
-        self.inflight < total || s.busy < (total * s.share).ceil().max(1.0)
+        self.inflight < total || s.busy < own_limit(total, s.share)
     }
 
     /// Frees held requests, most worth first; on a full round also refuses those held too long.
--- a/src/bin/turnshift-drill/main.rs
+++ b/crates/turnshift/src/bin/turnshift-drill/main.rs
@@ -1,8 +1,6 @@
 //! Hosts many balancer copies on the simulator's wire: batches on standard input, one reply to each on
 //! standard output. Bad input is one line on standard error and a non-zero exit, with no reply written.
 
-#![forbid(unsafe_code)]
-
 mod wire;
 
 use std::collections::HashMap;
--- a/src/lib.rs
+++ b/crates/turnshift/src/lib.rs
@@ -70,13 +70,12 @@
 //!
 //! Events about requests, attempts or backends that the copy does not know, or that are over, are passed over.
 
-#![forbid(unsafe_code)]
-
 pub mod api;
 mod balancer;
 pub mod settings;
 mod state;
 
+pub use api::{Load, SliceLoad};
 pub use balancer::Balancer;
 
 use api::{Settings, SettingsError, Tenant};
