--- /dev/null
+++ b/crates/heathroad-rehearsal/src/caller.rs
@@ -0,0 +1,221 @@
+//! One call to a proxy, as a client makes it: over a kept connection if there is a sound one, its end classified.
+//! Shared by the load driver, for clients from outside, and by stand-in backends, which call the next tier.
+
+use crate::clock::{Clock, Micros, seconds};
+use crate::http::{Broken, Buffer};
+use crate::ledger::End;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+/// A connect that takes longer has failed.
+const CONNECT: Duration = Duration::from_millis(1000);
+/// Kept connections, over all proxies.
+const MAX_KEPT: usize = 512;
+/// So long past its time an answer is still awaited, to tell a late one from none.
+const PAST: Duration = Duration::from_millis(150);
+
+/// What is asked.
+pub struct Ask {
+    /// `Req-Id`.
+    pub id: u64,
+    /// The path, its first part the class.
+    pub path: String,
+    /// `Req-Owner`.
+    pub tenant: Option<String>,
+    /// `Idempotency-Key`.
+    pub key: Option<u64>,
+    /// Whether it is safe, and so a GET.
+    pub safe: bool,
+    /// How long it is waited for.
+    pub patience: Micros,
+    /// It is marked as a client's retry.
+    pub retry: bool,
+    /// It hangs up after so long.
+    pub hang_up: Option<Micros>,
+    /// So long is taken for reading.
+    pub slow: Micros,
+}
+
+/// How a call went.
+pub struct Told {
+    /// When its last byte was written.
+    pub sent: Option<Micros>,
+    /// How it ended.
+    pub end: End,
+    /// When.
+    pub ended: Micros,
+}
+
+struct Kept {
+    stream: TcpStream,
+    /// The request that was answered on it last, to blame for what comes behind.
+    last: u64,
+}
+
+/// Connections kept between calls.
+#[derive(Default)]
+pub struct Caller {
+    kept: RefCell<HashMap<SocketAddr, Vec<Kept>>>,
+    /// Requests behind whose answer something came.
+    extra: RefCell<Vec<u64>>,
+}
+
+/// Whether a resting connection is sound: nothing lies there and it is open.
+fn resting(stream: &TcpStream) -> Result<(), bool> {
+    match stream.try_read(&mut [0; 1]) {
+        Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => Ok(()),
+        Ok(0) | Err(_) => Err(false),
+        Ok(_) => Err(true),
+    }
+}
+
+impl Caller {
+    /// The requests behind whose answer something came on their connections; those still kept are looked at now.
+    pub fn extras(&self) -> Vec<u64> {
+        for kept in self.kept.borrow_mut().drain().flat_map(|(_, k)| k) {
+            if resting(&kept.stream) == Err(true) {
+                self.extra.borrow_mut().push(kept.last);
+            }
+        }
+        self.extra.take()
+    }
+
+    fn reuse(&self, to: SocketAddr) -> Option<TcpStream> {
+        let mut kept = self.kept.borrow_mut();
+        let streams = kept.get_mut(&to)?;
+        while let Some(Kept { stream, last }) = streams.pop() {
+            match resting(&stream) {
+                Ok(()) => return Some(stream),
+                Err(true) => self.extra.borrow_mut().push(last),
+                Err(false) => {}
+            }
+        }
+        None
+    }
+
+    fn keep(&self, to: SocketAddr, stream: TcpStream, last: u64) {
+        let mut kept = self.kept.borrow_mut();
+        if kept.values().map(Vec::len).sum::<usize>() < MAX_KEPT {
+            kept.entry(to).or_default().push(Kept { stream, last });
+        }
+    }
+
+    /// Makes one call.
+    pub async fn call(self: &Rc<Self>, clock: Clock, to: SocketAddr, ask: &Ask) -> Told {
+        let sent = RefCell::new(None);
+        let patience = Duration::from_micros(ask.patience);
+        let limit = patience + Duration::from_micros(ask.slow) + PAST + CONNECT;
+        let call = async {
+            let hang_up = async {
+                match ask.hang_up {
+                    Some(after) => sleep(Duration::from_micros(after)).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                biased;
+                end = self.exchange(clock, to, ask, &sent) => end,
+                () = hang_up => if sent.borrow().is_some() { End::HungUp } else { End::Unsent },
+            }
+        };
+        let end = timeout(limit, call).await;
+        let sent = sent.into_inner();
+        let end = end.unwrap_or(if sent.is_some() { End::Silence } else { End::Unsent });
+        Told { sent, end, ended: clock.now() }
+    }
+
+    async fn exchange(&self, clock: Clock, to: SocketAddr, ask: &Ask, sent: &RefCell<Option<Micros>>) -> End {
+        let mut reused = self.reuse(to);
+        loop {
+            let kept = reused.is_some();
+            let mut stream = match reused.take() {
+                Some(stream) => stream,
+                None => match timeout(CONNECT, TcpStream::connect(to)).await {
+                    Ok(Ok(stream)) => stream,
+                    Ok(Err(_)) | Err(_) => return End::Unsent,
+                },
+            };
+            if stream.set_nodelay(true).is_err() || stream.write_all(ask.head().as_bytes()).await.is_err() {
+                if kept {
+                    continue;
+                }
+                return End::Unsent;
+            }
+            *sent.borrow_mut() = Some(clock.now());
+            if ask.slow > 0 {
+                sleep(Duration::from_micros(ask.slow)).await;
+            }
+            let mut buffer = Buffer::default();
+            let patience = Duration::from_micros(ask.patience + ask.slow) + PAST;
+            let response = match timeout(patience, buffer.response(&mut stream)).await {
+                Err(_) => return End::Silence,
+                Ok(Err(Broken::Garbled)) => return End::Garbled,
+                // The proxy's close has crossed the request: it is sent once more on a new connection.
+                Ok(Err(Broken::Ended(false))) if kept => {
+                    *sent.borrow_mut() = None;
+                    continue;
+                }
+                Ok(Err(Broken::Ended(begun))) => return End::Broken(begun),
+                Ok(Ok(response)) => response,
+            };
+            let end = match response.status {
+                200 => served(ask.id, &response.body),
+                429 | 503 => End::Refused { after: response.retry_after.map(seconds) },
+                status => End::Failed(status),
+            };
+            if !buffer.is_empty() {
+                self.extra.borrow_mut().push(ask.id);
+            } else if !response.close {
+                self.keep(to, stream, ask.id);
+            }
+            return end;
+        }
+    }
+}
+
+/// The body that a backend makes for a request: its id and the mark of the work done.
+pub fn body(id: u64, mark: u64) -> String {
+    format!("{id:016x} {mark:016x}")
+}
+
+/// Reads such a body.
+fn served(id: u64, body: &[u8]) -> End {
+    let text = String::from_utf8_lossy(body);
+    let mark = text.split_once(' ').filter(|(of, _)| u64::from_str_radix(of, 16) == Ok(id));
+    match mark.and_then(|(_, mark)| u64::from_str_radix(mark, 16).ok()) {
+        Some(mark) => End::Served(mark),
+        None => End::Alien(text.chars().take(80).collect()),
+    }
+}
+
+impl Ask {
+    /// The request as it goes out; it has no body.
+    fn head(&self) -> String {
+        let method = if self.safe { "GET" } else { "POST" };
+        let mut head = format!(
+            "{method} {} HTTP/1.1\r\nHost: origin.svc\r\nReq-Id: {:016x}\r\nReq-Deadline-Ms: {}\r\n",
+            self.path,
+            self.id,
+            self.patience / 1000
+        );
+        if let Some(tenant) = &self.tenant {
+            head += &format!("Req-Owner: {tenant}\r\n");
+        }
+        if let Some(key) = self.key {
+            head += &format!("Idempotency-Key: {key:016x}\r\n");
+        }
+        if self.retry {
+            head += "Req-Retry: 1\r\n";
+        }
+        if !self.safe {
+            head += "Content-Length: 0\r\n";
+        }
+        head + "\r\n"
+    }
+}
--- /dev/null
+++ b/crates/heathroad-rehearsal/src/http.rs
@@ -0,0 +1,232 @@
+//! HTTP/1.1 messages on raw sockets, as far as stand-ins need it (RFC 9112): heads are parsed by `httparse`, bodies
+//! have a length. Raw, so that a stand-in can break off, spoil and stall where it is told to, and a client can see
+//! what comes behind an answer.
+
+use std::io;
+use tokio::io::{AsyncRead, AsyncReadExt};
+
+/// Longest head.
+const MAX_HEAD: usize = 16 * 1024;
+/// Most lines in it.
+const MAX_HEADERS: usize = 64;
+/// Longest body.
+const MAX_BODY: usize = 64 * 1024;
+
+/// A request as a stand-in reads it.
+#[derive(Debug, PartialEq)]
+pub struct Request {
+    /// Its method.
+    pub method: String,
+    /// Path and query.
+    pub target: String,
+    /// `Req-Id`, a hexadecimal number.
+    pub id: Option<u64>,
+    /// `Idempotency-Key`, likewise.
+    pub key: Option<u64>,
+    /// `Req-Deadline-Ms`.
+    pub deadline_ms: Option<u64>,
+    /// Its body's length.
+    pub body: usize,
+}
+
+/// An answer as a client reads it.
+#[derive(Debug, PartialEq)]
+pub struct Response {
+    /// Its status.
+    pub status: u16,
+    /// `Retry-After`, in seconds.
+    pub retry_after: Option<f64>,
+    /// The connection ends with it.
+    pub close: bool,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
+/// Why no message came.
+#[derive(Debug)]
+pub enum Broken {
+    /// The connection ended; whether part of a message had come.
+    Ended(bool),
+    /// It can't be read.
+    Garbled,
+}
+
+impl From<io::Error> for Broken {
+    fn from(_: io::Error) -> Self {
+        Broken::Ended(true)
+    }
+}
+
+/// What was read of a connection and not used yet.
+#[derive(Debug, Default)]
+pub struct Buffer(Vec<u8>);
+
+impl Buffer {
+    /// Whether nothing lies there.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Reads on; whether something came.
+    async fn fill(&mut self, stream: &mut (impl AsyncRead + Unpin)) -> Result<(), Broken> {
+        match stream.read_buf(&mut self.0).await {
+            Ok(0) => Err(Broken::Ended(!self.0.is_empty())),
+            Ok(_) => Ok(()),
+            Err(_) => Err(Broken::Ended(!self.0.is_empty())),
+        }
+    }
+
+    /// Takes a message: its head, which `parse` understands, and so many bytes behind it.
+    async fn take<T>(
+        &mut self,
+        stream: &mut (impl AsyncRead + Unpin),
+        parse: impl Fn(&[u8]) -> Result<Option<(T, usize, usize)>, Broken>,
+    ) -> Result<(T, Vec<u8>), Broken> {
+        let (message, head, body) = loop {
+            match parse(&self.0)? {
+                Some(parsed) => break parsed,
+                None if self.0.len() > MAX_HEAD => return Err(Broken::Garbled),
+                None => self.fill(stream).await?,
+            }
+        };
+        if body > MAX_BODY {
+            return Err(Broken::Garbled);
+        }
+        while self.0.len() < head + body {
+            self.fill(stream).await?;
+        }
+        let rest = self.0.split_off(head + body);
+        let mut whole = std::mem::replace(&mut self.0, rest);
+        Ok((message, whole.split_off(head)))
+    }
+
+    /// Waits for the first byte of the next message; false if the connection ends before.
+    pub async fn begun(&mut self, stream: &mut (impl AsyncRead + Unpin)) -> bool {
+        !self.is_empty() || self.fill(stream).await.is_ok()
+    }
+
+    /// Reads a request.
+    pub async fn request(&mut self, stream: &mut (impl AsyncRead + Unpin)) -> Result<Request, Broken> {
+        let (mut request, body) = self.take(stream, parse_request).await?;
+        request.body = body.len();
+        Ok(request)
+    }
+
+    /// Reads an answer; those that are only provisional are passed over.
+    pub async fn response(&mut self, stream: &mut (impl AsyncRead + Unpin)) -> Result<Response, Broken> {
+        loop {
+            let (mut response, body) = self.take(stream, parse_response).await?;
+            if response.status >= 200 {
+                response.body = body;
+                return Ok(response);
+            }
+        }
+    }
+}
+
+fn text<'a>(headers: &'a [httparse::Header<'a>], name: &str) -> Option<&'a str> {
+    let header = headers.iter().find(|h| h.name.eq_ignore_ascii_case(name))?;
+    std::str::from_utf8(header.value).ok().map(str::trim)
+}
+
+fn number(headers: &[httparse::Header], name: &str) -> Option<u64> {
+    u64::from_str_radix(text(headers, name)?, 16).ok()
+}
+
+/// The length that a head tells: none is 0, two are wrong, and codings are not spoken here.
+fn length(headers: &[httparse::Header]) -> Result<usize, Broken> {
+    if text(headers, "transfer-encoding").is_some() {
+        return Err(Broken::Garbled);
+    }
+    let mut lengths = headers.iter().filter(|h| h.name.eq_ignore_ascii_case("content-length"));
+    let first = lengths.next();
+    if lengths.next().is_some() {
+        return Err(Broken::Garbled);
+    }
+    match first {
+        None => Ok(0),
+        Some(h) => {
+            std::str::from_utf8(h.value).ok().and_then(|v| v.trim().parse().ok()).ok_or(Broken::Garbled)
+        }
+    }
+}
+
+fn parse_request(bytes: &[u8]) -> Result<Option<(Request, usize, usize)>, Broken> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut head = httparse::Request::new(&mut headers);
+    let end = match head.parse(bytes).map_err(|_| Broken::Garbled)? {
+        httparse::Status::Partial => return Ok(None),
+        httparse::Status::Complete(end) => end,
+    };
+    let request = Request {
+        method: head.method.unwrap_or_default().to_string(),
+        target: head.path.unwrap_or_default().to_string(),
+        id: number(head.headers, "req-id"),
+        key: number(head.headers, "idempotency-key"),
+        deadline_ms: text(head.headers, "req-deadline-ms").and_then(|v| v.parse().ok()),
+        body: 0,
+    };
+    Ok(Some((request, end, length(head.headers)?)))
+}
+
+fn parse_response(bytes: &[u8]) -> Result<Option<(Response, usize, usize)>, Broken> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut head = httparse::Response::new(&mut headers);
+    let end = match head.parse(bytes).map_err(|_| Broken::Garbled)? {
+        httparse::Status::Partial => return Ok(None),
+        httparse::Status::Complete(end) => end,
+    };
+    let status = head.code.unwrap_or_default();
+    let response = Response {
+        status,
+        retry_after: text(head.headers, "retry-after").and_then(|v| v.parse().ok()),
+        close: text(head.headers, "connection").is_some_and(|v| v.eq_ignore_ascii_case("close")),
+        body: Vec::new(),
+    };
+    let bodiless = status < 200 || status == 204 || status == 304;
+    Ok(Some((response, end, if bodiless { 0 } else { length(head.headers)? })))
+}
+
+/// An answer as bytes.
+pub fn answer(status: u16, headers: &str, body: &str) -> Vec<u8> {
+    format!("HTTP/1.1 {status} \r\nContent-Length: {}\r\n{headers}\r\n{body}", body.len()).into_bytes()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test]
+    async fn messages_are_read_one_by_one_and_what_is_behind_stays() {
+        let mut bytes: &[u8] =
+            b"POST /a?k=1 HTTP/1.1\r\nReq-Id: 1f\r\nIdempotency-Key: 2\r\nContent-Length: 3\r\n\r\n\
+            abcGET /b HTTP/1.1\r\n\r\n";
+        let mut buffer = Buffer::default();
+        let one = buffer.request(&mut bytes).await.expect("whole");
+        assert_eq!((one.method.as_str(), one.target.as_str(), one.body), ("POST", "/a?k=1", 3));
+        assert_eq!((one.id, one.key), (Some(0x1f), Some(2)));
+        let two = buffer.request(&mut bytes).await.expect("whole");
+        assert_eq!((two.target.as_str(), two.id), ("/b", None));
+        assert!(matches!(buffer.request(&mut bytes).await, Err(Broken::Ended(false))));
+    }
+
+    #[tokio::test]
+    async fn broken_and_unreadable_answers_are_told_apart() {
+        async fn read(mut bytes: &[u8]) -> Result<Response, Broken> {
+            Buffer::default().response(&mut bytes).await
+        }
+        assert!(matches!(read(b"").await, Err(Broken::Ended(false))));
+        assert!(matches!(read(b"HTTP/1.1 200 OK\r\nConte").await, Err(Broken::Ended(true))));
+        assert!(matches!(
+            read(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf").await,
+            Err(Broken::Ended(true))
+        ));
+        assert!(matches!(read(b"\x01noise\r\n\r\n").await, Err(Broken::Garbled)));
+        assert!(matches!(read(b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n").await, Err(Broken::Garbled)));
+        let good =
+            read(b"HTTP/1.1 100 \r\n\r\nHTTP/1.1 503 \r\nRetry-After: 0.25\r\nContent-Length: 2\r\n\r\nno")
+                .await;
+        let good = good.expect("whole");
+        assert_eq!((good.status, good.retry_after, good.body.as_slice()), (503, Some(0.25), &b"no"[..]));
+    }
+}
--- /dev/null
+++ b/crates/heathroad-rehearsal/src/judge/mod.rs
@@ -0,0 +1,109 @@
+//! The judge: service worth and the four rules, from the ledgers alone. A pure function, so that it can be tried
+//! against proxies that break each rule, without a socket.
+
+mod rules;
+mod worth;
+
+pub use rules::{Breach, Rule};
+pub use worth::Worth;
+
+use crate::clock::Micros;
+use crate::ledger::{HostNo, Ledgers};
+use crate::plan::Plan;
+use crate::stand_in::machine::Make;
+
+/// What the judge must know beside the ledgers.
+pub struct Terms<'a> {
+    /// What was planned.
+    pub plan: &'a Plan,
+    /// Names of the proxies.
+    pub proxies: &'a [String],
+    /// Names of the hosts.
+    pub hosts: &'a [String],
+    /// Cells of the hosts, beside their tier's others.
+    pub cells: &'a [u16],
+    /// Makes of the hosts' machines.
+    pub makes: &'a [Make],
+}
+
+impl Terms<'_> {
+    fn host(&self, host: HostNo) -> &str {
+        self.hosts.get(usize::from(host)).map_or("?", String::as_str)
+    }
+
+    fn proxy(&self, proxy: u16) -> &str {
+        self.proxies.get(usize::from(proxy)).map_or("?", String::as_str)
+    }
+}
+
+/// What a rehearsal came to.
+#[derive(Debug, Clone)]
+pub struct Verdict {
+    /// Service worth.
+    pub worth: Worth,
+    /// Every breach of the four rules.
+    pub breaches: Vec<Breach>,
+    /// Claims that ran twice at the first tier by their clients' doing: repeated later than backends remember.
+    pub by_clients: Vec<String>,
+    /// Tries by answer: served, refused, failed, without any.
+    pub tries: [u64; 4],
+    /// Requests that backends saw more than once under one id.
+    pub resends: u64,
+    /// Clients that sent what can't be used, and those of them that were left with nothing.
+    pub rude: [u64; 2],
+    /// Latencies of served first tries, retries folded in, in microseconds: sorted.
+    pub latencies: Vec<Micros>,
+}
+
+impl Verdict {
+    /// How many breaches of a rule there are.
+    pub fn breaches_of(&self, rule: Rule) -> usize {
+        self.breaches.iter().filter(|b| b.rule == rule).count()
+    }
+
+    /// A figure that expectations name; see [`crate::scenario::FIGURES`].
+    pub fn figure(&self, name: &str) -> Option<f64> {
+        let all = self.tries.iter().sum::<u64>().max(1) as f64;
+        Some(match name {
+            "worth" => self.worth.goal,
+            "whole" => self.worth.whole,
+            "worst_10s" => self.worth.worst_window,
+            "worst_class" => self.worth.worst_class,
+            "worst_tenant" => self.worth.worst_tenant,
+            "served" => self.tries[0] as f64,
+            "refused_share" => self.tries[1] as f64 / all,
+            "failed_share" => (self.tries[2] + self.tries[3]) as f64 / all,
+            "run_twice_by_clients" => self.by_clients.len() as f64,
+            "run_twice_by_proxies" => self.breaches_of(Rule::Double) as f64,
+            "resends_seen" => self.resends as f64,
+            "rude_unanswered" => self.rude[1] as f64,
+            _ => return None,
+        })
+    }
+
+    /// A percentile of the latencies; 0 where nothing was served.
+    pub fn latency(&self, share: f64) -> Micros {
+        let last = self.latencies.len().saturating_sub(1) as f64;
+        self.latencies.get((last * share).round() as usize).copied().unwrap_or(0)
+    }
+}
+
+/// Judges the ledgers.
+pub fn judge(terms: &Terms, ledgers: &Ledgers) -> Verdict {
+    use crate::ledger::End;
+    let (breaches, by_clients, resends) = rules::all(terms, ledgers);
+    let mut tries = [0; 4];
+    for t in ledgers.tries.iter().filter(|t| t.tier == 0) {
+        let kind = match t.end {
+            End::Served(_) => 0,
+            End::Refused { .. } => 1,
+            End::Failed(_) => 2,
+            _ => 3,
+        };
+        tries[kind] += 1;
+    }
+    let left = ledgers.rude.iter().filter(|r| rules::left_with_nothing(r)).count();
+    let (worth, latencies) = worth::of(terms.plan, &ledgers.tries);
+    let rude = [ledgers.rude.len() as u64, left as u64];
+    Verdict { worth, breaches, by_clients, tries, resends, rude, latencies }
+}
--- /dev/null
+++ b/crates/heathroad-rehearsal/src/judge/worth.rs
@@ -0,0 +1,111 @@
+//! Service worth: what was answered within the wanted time against what was asked, a client's retries folded into
+//! its first try. Arrivals were drawn ahead, so what a stalled proxy never let a client ask counts as asked.
+
+use crate::clock::{Micros, SECOND};
+use crate::ledger::{End, Try};
+use crate::load::PLANNED_REPEAT;
+use crate::plan::Plan;
+
+/// The window of the worst stretch.
+const WINDOW: Micros = 10 * SECOND;
+/// Weights of the whole rehearsal, its worst window, its worst class and its worst tenant.
+const WEIGHTS: [f64; 4] = [0.4, 0.1, 0.1, 0.4];
+
+/// Worth by several views, each as a share of what was asked, from 0 to 1.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Worth {
+    /// Worth asked.
+    pub asked: f64,
+    /// Worth earned.
+    pub earned: f64,
+    /// Of it, earned late.
+    pub late: f64,
+    /// The whole rehearsal.
+    pub whole: f64,
+    /// The worst ten seconds.
+    pub worst_window: f64,
+    /// The worst-served class.
+    pub worst_class: f64,
+    /// The worst-served tenant, within its share.
+    pub worst_tenant: f64,
+    /// All of these, weighted.
+    pub goal: f64,
+    /// Asked and earned by second.
+    pub by_second: Vec<[f64; 2]>,
+}
+
+fn share([asked, earned]: [f64; 2]) -> Option<f64> {
+    (asked > 0.0).then(|| earned / asked)
+}
+
+fn worst(sums: &[[f64; 2]]) -> f64 {
+    sums.iter().filter_map(|s| share(*s)).fold(f64::INFINITY, f64::min)
+}
+
+/// Worth by the plan and the tries, and the sorted latencies of what was served.
+pub fn of(plan: &Plan, tries: &[Try]) -> (Worth, Vec<Micros>) {
+    let mut served = vec![None; plan.tries.len()];
+    for t in tries.iter().filter(|t| t.tier == 0 && t.number != PLANNED_REPEAT) {
+        if let (End::Served(_), Some(s)) = (&t.end, served.get_mut(t.first as usize)) {
+            // A slow reader's own time is not the service's.
+            let at = t.ended.saturating_sub(t.slow);
+            *s = Some(s.map_or(at, |before: Micros| before.min(at)));
+        }
+    }
+    let s = &plan.scenario;
+    let seconds = plan.length.div_ceil(SECOND).max(1) as usize;
+    let mut by_second = vec![[0.0; 2]; seconds];
+    let mut by_class = vec![[0.0; 2]; s.class.len()];
+    let mut by_tenant = vec![[0.0; 2]; s.tenant.len()];
+    let (mut whole, mut late, mut latencies) = ([0.0; 2], 0.0, Vec::new());
+    for (first, served) in plan.tries.iter().zip(&served) {
+        let class = plan.class(first.class);
+        let asked = class.worth * if first.over { s.run.over_share_worth } else { 1.0 };
+        let earned = match served.map(|at| at.saturating_sub(first.at)) {
+            Some(took) => {
+                latencies.push(took);
+                let ms = took as f64 / 1000.0;
+                let in_time = ms <= class.aim_ms;
+                let part = if in_time {
+                    1.0
+                } else if ms <= class.deadline_ms {
+                    class.late_worth
+                } else {
+                    0.0
+                };
+                late += if in_time { 0.0 } else { asked * part };
+                asked * part
+            }
+            None => 0.0,
+        };
+        let second = (first.at.saturating_sub(plan.start) / SECOND) as usize;
+        let add = |sum: &mut [f64; 2]| *sum = [sum[0] + asked, sum[1] + earned];
+        add(&mut whole);
+        add(&mut by_second[second.min(seconds - 1)]);
+        add(&mut by_class[usize::from(first.class)]);
+        if !first.over {
+            add(&mut by_tenant[usize::from(first.tenant)]);
+        }
+    }
+    latencies.sort_unstable();
+    let width = (WINDOW / SECOND) as usize;
+    let sum = |part: &[[f64; 2]]| part.iter().fold([0.0; 2], |a, b| [a[0] + b[0], a[1] + b[1]]);
+    let windows: Vec<[f64; 2]> = by_second.windows(width.min(seconds)).map(sum).collect();
+    let parts = [share(whole).unwrap_or(0.0), worst(&windows), worst(&by_class), worst(&by_tenant)];
+    let parts = parts.map(|p| if p.is_finite() { p } else { 0.0 });
+    let goal = parts.iter().zip(WEIGHTS).map(|(p, w)| p * w).sum();
+    let [whole_share, worst_window, worst_class, worst_tenant] = parts;
+    let [asked, earned] = whole;
+    let worth = Worth {
+        asked,
+        earned,
+        late,
+        whole: whole_share,
+        worst_window,
+        worst_class,
+        worst_tenant,
+        goal,
+        by_second,
+    };
+    (worth, latencies)
+}
--- /dev/null
+++ b/crates/heathroad-rehearsal/src/ledger.rs
@@ -0,0 +1,245 @@
+//! The three ledgers of a rehearsal, kept apart by who writes them: what clients got, what backends ran, what the
+//! registry told. Plain records; what they mean is the judge's to say.
+
+use crate::clock::Micros;
+
+/// Place of a proxy in the stage's list.
+pub type ProxyNo = u16;
+/// Place of a host in the stage's list.
+pub type HostNo = u16;
+
+/// Everything that was seen.
+#[derive(Debug, Default, Clone)]
+pub struct Ledgers {
+    /// What clients asked and got, and what backends asked of the next tier.
+    pub tries: Vec<Try>,
+    /// Clients that send what can't be used.
+    pub rude: Vec<Rude>,
+    /// What came to backends.
+    pub arrivals: Vec<Arrival>,
+    /// Processes of backends.
+    pub lives: Vec<Life>,
+    /// What the registry told.
+    pub told: Vec<Told>,
+    /// What the stage did to processes.
+    pub acts: Vec<Act>,
+}
+
+/// One request, as who sent it saw it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Try {
+    /// Its `Req-Id`.
+    pub id: u64,
+    /// The tier asked; 0 for a client from outside.
+    pub tier: u8,
+    /// The request that it is a part of; none for a client's.
+    pub parent: Option<u64>,
+    /// Place of its first try in the plan; means nothing behind the first tier.
+    pub first: u32,
+    /// 0 for a first try, counted up by retries.
+    pub number: u8,
+    /// Its class.
+    pub class: u16,
+    /// Its tenant.
+    pub tenant: u16,
+    /// Its idempotency key.
+    pub key: Option<u64>,
+    /// The proxy asked.
+    pub proxy: ProxyNo,
+    /// When the plan wanted it sent.
+    pub due: Micros,
+    /// When its last byte was written, if it was.
+    pub sent: Option<Micros>,
+    /// How long its sender said to wait.
+    pub patience: Micros,
+    /// Time that its sender took for reading, which is nobody else's.
+    pub slow: Micros,
+    /// How it ended.
+    pub end: End,
+    /// When it ended: the last byte of its answer.
+    pub ended: Micros,
+    /// Something came behind the answer on its connection.
+    pub extra: bool,
+}
+
+/// How a request ended, as its sender saw it.
+#[derive(Debug, Clone, PartialEq)]
+pub enum End {
+    /// 200, with the mark that a backend put into the answer.
+    Served(u64),
+    /// 200, with a body that is no backend's answer.
+    Alien(String),
+    /// 429 or 503.
+    Refused {
+        /// When to come back, if that was told.
+        after: Option<Micros>,
+    },
+    /// Any other status.
+    Failed(u16),
+    /// The connection ended before a whole answer; whether part of one had come.
+    Broken(bool),
+    /// The answer can't be read.
+    Garbled,
+    /// Nothing came, long past its time.
+    Silence,
+    /// Its sender left, as planned.
+    HungUp,
+    /// It could not be sent: no proxy, no connection, or it broke before the last byte.
+    Unsent,
+}
+
+/// A client that sends what can't be used, and what it got.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Rude {
+    /// What it sent.
+    pub kind: &'static str,
+    /// The id hidden in what it sent, if any.
+    pub hidden: Option<u64>,
+    /// When it connected.
+    pub at: Micros,
+    /// The status it was answered; none if it got a close.
+    pub status: Option<u16>,
+    /// When it got one or the other; none if neither came.
+    pub ended: Option<Micros>,
+}
+
+/// A request that came whole to a backend.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Arrival {
+    /// The host.
+    pub host: HostNo,
+    /// Which of its processes, from 0.
+    pub life: u16,
+    /// The tier.
+    pub tier: u8,
+    /// Who sent it.
+    pub proxy: ProxyNo,
+    /// Its `Req-Id`.
+    pub id: u64,
+    /// Its class.
+    pub class: u16,
+    /// Its idempotency key.
+    pub key: Option<u64>,
+    /// When its first byte came.
+    pub first_byte: Micros,
+    /// When its last byte came.
+    pub whole: Micros,
+    /// Work that it brought, in microseconds of a standard core, a handshake's included.
+    pub work: u64,
+    /// What the backend did with it.
+    pub fate: Fate,
+    /// The mark in its answer.
+    pub mark: u64,
+    /// What was answered.
+    pub answer: Answer,
+    /// When the answer's last byte was written.
+    pub done: Option<Micros>,
+}
+
+/// What a backend does with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    /// It began to run: its effect counts as happened.
+    Ran,
+    /// A repeat of what has run here or in the group: dropped, and answered.
+    Repeat,
+    /// Turned away unseen.
+    Declined,
+}
+
+/// What a backend answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Answer {
+    /// Nothing yet, or ever.
+    None,
+    /// A whole 200.
+    Served,
+    /// Turned away.
+    Declined,
+    /// A 500.
+    Error,
+    /// Broken off in the middle.
+    Cut,
+    /// Noise.
+    Spoilt,
+}
+
+/// One process of a backend.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Life {
+    /// The host.
+    pub host: HostNo,
+    /// Which of its processes, from 0.
+    pub life: u16,
+    /// When it started; 0 with `warm` for one that ran before the rehearsal.
+    pub started: Micros,
+    /// It needs no warming up.
+    pub warm: bool,
+    /// When it was sent more than it can bear and fell over, as the stand-in saw it.
+    pub fell: Option<Micros>,
+}
+
+/// A change that the registry wrote to a proxy.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Told {
+    /// When the answer that held it was written.
+    pub at: Micros,
+    /// To whom.
+    pub proxy: ProxyNo,
+    /// Of which host.
+    pub host: HostNo,
+    /// Which of its processes.
+    pub life: u16,
+    /// The version of the host's entry; a lower one is an older state that came late.
+    pub version: u64,
+    /// Whether it takes new work.
+    pub health: Health,
+}
+
+/// A backend's health, in the registry's words.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Health {
+    /// Takes work.
+    Serving,
+    /// Finishes its work.
+    Draining,
+    /// Gone.
+    Deleted,
+}
+
+impl Health {
+    /// The registry's word.
+    pub fn word(self) -> &'static str {
+        match self {
+            Health::Serving => "SERVING",
+            Health::Draining => "DRAINING",
+            Health::Deleted => "DELETED",
+        }
+    }
+}
+
+/// Something that the stage did to a proxy's process.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Act {
+    /// When.
+    pub at: Micros,
+    /// To whom.
+    pub proxy: ProxyNo,
+    /// What.
+    pub what: Did,
+}
+
+/// What the stage does to processes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Did {
+    /// It was started and answers that it is ready.
+    Started,
+    /// Killed outright.
+    Killed,
+    /// Told to stop.
+    Stopped,
+    /// Told to read its configuration again.
+    Reloaded,
+    /// It ended though nobody told it to.
+    Crashed,
+}
--- a/crates/heathroad-rehearsal/src/main.rs
+++ b/crates/heathroad-rehearsal/src/main.rs
@@ -1,1 +1,7 @@
-fn main() {}
+//! `heathroad-rehearse`: one command to see heathroad work, and fail.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    heathroad_rehearsal::cli::main()
+}
--- /dev/null
+++ b/crates/heathroad-rehearsal/src/outcome.rs
@@ -0,0 +1,283 @@
+//! A rehearsal's outcome: verdict, agreement and expectations, and whether the machine kept up so that they mean
+//! anything.
+
+use crate::agreement::{self, Line};
+use crate::clock::{Micros, show};
+use crate::judge::{self, Rule, Terms, Verdict};
+use crate::stage::Seen;
+use serde::Serialize;
+use std::fmt::Write;
+
+/// The driver or the stand-ins later than this, in the 99th percentile, void a rehearsal.
+pub const LATE: Micros = 30_000;
+/// Nor may they ever have stood still for so long: a client's whole grace would be gone.
+pub const STALLED: Micros = 250_000;
+
+/// The exit codes of `heathroad-rehearse`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Code {
+    /// All kept.
+    Kept = 0,
+    /// A rule broken, an expectation missed, a daemon that crashed, or counts that differ.
+    Broken = 1,
+    /// Bad input.
+    BadInput = 2,
+    /// The machine ran late: no verdict.
+    Void = 3,
+}
+
+/// What an expectation came to.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Expectation {
+    /// The figure, and the side of its bound.
+    pub name: String,
+    /// Whether it is met.
+    pub ok: bool,
+    /// The figure.
+    pub figure: f64,
+    /// Its bound.
+    pub bound: f64,
+}
+
+/// A rehearsal judged.
+pub struct Outcome {
+    /// What was seen.
+    pub seen: Seen,
+    /// What the judge says.
+    pub verdict: Verdict,
+    /// What the daemon's counts say beside it.
+    pub lines: Vec<Line>,
+    /// What was expected.
+    pub expectations: Vec<Expectation>,
+    /// Why it means nothing, if so.
+    pub void: Vec<String>,
+}
+
+#[derive(Serialize)]
+struct Rules {
+    lost: usize,
+    double: usize,
+    drain: usize,
+    cold: usize,
+}
+
+#[derive(Serialize)]
+struct Latency {
+    p50: Micros,
+    p99: Micros,
+}
+
+#[derive(Serialize)]
+struct Json<'a> {
+    scenario: &'a str,
+    seed: u64,
+    digest: &'a str,
+    void: bool,
+    asked: f64,
+    earned: f64,
+    rules: Rules,
+    agrees: bool,
+    expectations: &'a [Expectation],
+    latency_us: Latency,
+    cpu_us_per_request: f64,
+    peak_rss_mb: f64,
+}
+
+impl Outcome {
+    /// Judges what was seen.
+    pub fn of(seen: Seen) -> Outcome {
+        let terms = Terms {
+            plan: &seen.plan,
+            proxies: &seen.proxies,
+            hosts: &seen.hosts,
+            cells: &seen.cells,
+            makes: &seen.makes,
+        };
+        let verdict = judge::judge(&terms, &seen.ledgers);
+        let lines = agreement::compare(&seen);
+        let expectations = expectations(&seen, &verdict);
+        let void = void(&seen);
+        Outcome { seen, verdict, lines, expectations, void }
+    }
+
+    /// Whether the daemon's counts agree with the ledgers.
+    pub fn agrees(&self) -> bool {
+        self.lines.iter().all(Line::agrees)
+    }
+
+    /// What the program ends with.
+    pub fn code(&self) -> Code {
+        let sound = self.verdict.breaches.is_empty()
+            && self.agrees()
+            && self.expectations.iter().all(|e| e.ok)
+            && self.seen.troubles.is_empty();
+        match (self.void.is_empty(), sound) {
+            (false, _) => Code::Void,
+            (true, true) => Code::Kept,
+            (true, false) => Code::Broken,
+        }
+    }
+
+    /// CPU time that the daemons took for each request that they answered, in microseconds.
+    pub fn cpu_per_request(&self) -> f64 {
+        let (mut cpu, mut answered) = (0, 0);
+        for c in &self.seen.counts {
+            // A process that was killed took its count with it; its time would be nobody's.
+            let Some(rows) = c.counts.as_ref().and_then(|v| v.get("requests")?.as_array()) else { continue };
+            cpu += c.usage.cpu_us;
+            answered += rows.iter().filter_map(|r| r.get("count")?.as_u64()).sum::<u64>();
+        }
+        cpu as f64 / (answered.max(1)) as f64
+    }
+
+    /// Most memory that any daemon held, in MB.
+    pub fn peak_rss_mb(&self) -> f64 {
+        self.seen.counts.iter().map(|c| c.usage.peak_kb).max().unwrap_or(0) as f64 / 1024.0
+    }
+
+    /// The outcome as one JSON object, under the scenario's name.
+    pub fn json(&self, scenario: &str) -> String {
+        let of = |rule| self.verdict.breaches_of(rule);
+        let [p50, p99] = [0.5, 0.99].map(|p| self.verdict.latency(p));
+        let json = Json {
+            scenario,
+            seed: self.seen.plan.seed,
+            digest: &self.seen.plan.digest,
+            void: !self.void.is_empty(),
+            asked: self.verdict.worth.asked,
+            earned: self.verdict.worth.earned,
+            rules: Rules {
+                lost: of(Rule::Lost),
+                double: of(Rule::Double),
+                drain: of(Rule::Drain),
+                cold: of(Rule::Cold),
+            },
+            agrees: self.agrees(),
+            expectations: &self.expectations,
+            latency_us: Latency { p50, p99 },
+            cpu_us_per_request: self.cpu_per_request(),
+            peak_rss_mb: self.peak_rss_mb(),
+        };
+        // Its keys are text and its figures finite.
+        serde_json::to_string(&json).unwrap_or_default()
+    }
+
+    /// The outcome as a table for people.
+    pub fn table(&self) -> String {
+        let mut out = String::new();
+        // Writing to text does not fail.
+        let _ = self.write_table(&mut out);
+        out
+    }
+
+    fn write_table(&self, out: &mut String) -> std::fmt::Result {
+        let (v, w) = (&self.verdict, &self.verdict.worth);
+        writeln!(out, "{}", self.seen.plan.title())?;
+        writeln!(
+            out,
+            "  worth      {:.3}   asked {:.1}, earned {:.1}, of it {:.1} late",
+            w.goal, w.asked, w.earned, w.late
+        )?;
+        writeln!(
+            out,
+            "             whole {:.3}, worst 10 s {:.3}, worst class {:.3}, worst tenant {:.3}",
+            w.whole, w.worst_window, w.worst_class, w.worst_tenant
+        )?;
+        let [served, refused, failed, none] = v.tries;
+        writeln!(
+            out,
+            "  tries      served {served}, refused {refused}, failed {failed}, without an answer {none}"
+        )?;
+        writeln!(
+            out,
+            "  latency    median {}, 99th percentile {}",
+            show(v.latency(0.5)),
+            show(v.latency(0.99))
+        )?;
+        writeln!(
+            out,
+            "  daemons    {:.0} us of CPU a request, {:.1} MB at most; {} resends seen",
+            self.cpu_per_request(),
+            self.peak_rss_mb(),
+            v.resends
+        )?;
+        if v.rude[0] > 0 {
+            writeln!(out, "  bad clients {}, left with nothing {}", v.rude[0], v.rude[1])?;
+        }
+        let rules: Vec<String> =
+            Rule::ALL.iter().map(|r| format!("{} {}", r.name(), v.breaches_of(*r))).collect();
+        writeln!(out, "  breaches   {}", rules.join(", "))?;
+        for b in &v.breaches {
+            let id = b.id.map(|id| format!("{id:016x} ")).unwrap_or_default();
+            writeln!(out, "    {} {id}{}", b.rule.name(), b.proof)?;
+        }
+        for twice in &v.by_clients {
+            writeln!(out, "  run twice by its client: {twice}")?;
+        }
+        let apart = self.lines.iter().filter(|l| !l.agrees()).collect::<Vec<_>>();
+        writeln!(
+            out,
+            "  agreement  {} figures beside the daemons' own, {} differ",
+            self.lines.len(),
+            apart.len()
+        )?;
+        for l in apart {
+            let [least, most] = l.seen;
+            writeln!(out, "    {}: seen {least} to {most}, counted {}", l.what, l.counted)?;
+        }
+        for e in &self.expectations {
+            let word = if e.ok { "met" } else { "MISSED" };
+            writeln!(out, "  expected   {} {}: {:.3}, {word}", e.name, e.bound, e.figure)?;
+        }
+        for trouble in &self.seen.troubles {
+            writeln!(out, "  trouble    {trouble}")?;
+        }
+        for why in &self.void {
+            writeln!(out, "  VOID       {why}")?;
+        }
+        let verdict = match self.code() {
+            Code::Kept => "all kept",
+            Code::Broken => "BROKEN",
+            Code::Void => "void: no verdict",
+            Code::BadInput => "bad input",
+        };
+        writeln!(out, "  verdict    {verdict}")
+    }
+}
+
+fn expectations(seen: &Seen, verdict: &Verdict) -> Vec<Expectation> {
+    let mut list = Vec::new();
+    for e in &seen.plan.scenario.expect {
+        let Some(figure) = verdict.figure(&e.figure) else { continue };
+        let mut hold = |side: &str, bound: Option<f64>, ok: &dyn Fn(f64) -> bool| {
+            if let Some(bound) = bound {
+                list.push(Expectation { name: format!("{} {side}", e.figure), ok: ok(bound), figure, bound });
+            }
+        };
+        hold("at least", e.at_least, &|b| figure >= b);
+        hold("at most", e.at_most, &|b| figure <= b);
+    }
+    list
+}
+
+/// Why a rehearsal means nothing.
+fn void(seen: &Seen) -> Vec<String> {
+    let mut why = Vec::new();
+    for (who, late) in [("the driver", &seen.driver_late), ("the stand-ins", &seen.stage_late)] {
+        let (p99, most) = (late.value_at_quantile(0.99), late.max());
+        if p99 > LATE || most > STALLED {
+            let (p99, most) = (show(p99), show(most));
+            why.push(format!("{who} ran late: {p99} in the 99th percentile, {most} at most"));
+        }
+    }
+    if seen.dropped > 0 {
+        why.push(format!("{} first tries could not be begun by the driver", seen.dropped));
+    }
+    if seen.starved > 0 {
+        why.push(format!("{} tries failed for want of descriptors at the driver", seen.starved));
+    }
+    if seen.interrupted {
+        why.push("it was ended early".into());
+    }
+    why
+}
--- /dev/null
+++ b/crates/heathroad-rehearsal/src/report.rs
@@ -0,0 +1,240 @@
+//! The report: one self-contained page with the verdict, plots through time and what was counted on both sides. The
+//! plots are SVG inside the page; it asks for nothing from anywhere.
+
+use crate::clock::{Micros, SECOND, show};
+use crate::ledger::End;
+use crate::load::PLANNED_REPEAT;
+use crate::outcome::{Code, Outcome};
+use plotters::prelude::*;
+use std::fmt::Write;
+
+const SIZE: (u32, u32) = (1100, 300);
+/// Colours that stay apart for most eyes, by turns.
+const COLOURS: [RGBColor; 6] = [
+    RGBColor(0, 114, 178),
+    RGBColor(213, 94, 0),
+    RGBColor(0, 158, 115),
+    RGBColor(204, 121, 167),
+    RGBColor(230, 159, 0),
+    RGBColor(86, 180, 233),
+];
+const BAND: RGBColor = RGBColor(120, 120, 120);
+const BREACH: RGBColor = RGBColor(200, 0, 0);
+/// Rows that the labels of bands are spread over.
+const ROWS: usize = 4;
+
+/// A line through time, in seconds of the rehearsal.
+struct Series {
+    name: String,
+    colour: RGBColor,
+    points: Vec<(f64, f64)>,
+    filled: bool,
+}
+
+/// What lies behind every plot.
+struct Backdrop {
+    length: f64,
+    /// From, until, and what.
+    bands: Vec<(f64, f64, String)>,
+    breaches: Vec<f64>,
+}
+
+fn seconds(at: Micros, start: Micros) -> f64 {
+    at as f64 / SECOND as f64 - start as f64 / SECOND as f64
+}
+
+/// The page.
+pub fn page(outcome: &Outcome) -> Result<String, String> {
+    let plan = &outcome.seen.plan;
+    let at = |t: Micros| seconds(t, plan.start);
+    let back = Backdrop {
+        length: plan.length as f64 / SECOND as f64,
+        bands: plan.faults.iter().map(|f| (at(f.at), at(f.until), f.label(&plan.scenario))).collect(),
+        breaches: outcome.verdict.breaches.iter().map(|b| at(b.at)).collect(),
+    };
+    let mut out = String::new();
+    write_page(&mut out, outcome, &back).map_err(|e| format!("report: {e}"))?;
+    Ok(out)
+}
+
+fn write_page(out: &mut String, outcome: &Outcome, back: &Backdrop) -> Result<(), String> {
+    let text = |e: std::fmt::Error| e.to_string();
+    let title = escape(&outcome.seen.plan.title());
+    let (word, colour) = match outcome.code() {
+        Code::Kept => ("all kept", "#00704f"),
+        Code::Void => ("void: no verdict", "#8a6100"),
+        _ => ("broken", "#b00000"),
+    };
+    write!(
+        out,
+        "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>{title}</title><style>\
+         body{{font:15px/1.45 system-ui,sans-serif;max-width:1120px;margin:2em auto;padding:0 1em;color:#222;\
+         background:#fff}}pre{{background:#f5f5f2;padding:1em;overflow-x:auto}}table{{border-collapse:collapse}}\
+         td,th{{padding:.2em .8em;border-bottom:1px solid #ddd;text-align:left}}td.n{{text-align:right;\
+         font-variant-numeric:tabular-nums}}tr.off td{{background:#fde8e4}}svg{{width:100%;height:auto}}\
+         .verdict{{color:#fff;background:{colour};padding:.15em .6em;border-radius:.2em}}</style>\
+         <h1>{title}</h1><p><span class=\"verdict\">{word}</span></p><p>{}</p><pre>{}</pre>",
+        escape(outcome.seen.plan.scenario.about.trim()),
+        escape(&outcome.table()),
+    )
+    .map_err(text)?;
+    out.push_str("<h2>Worth by second, against what was asked</h2>");
+    out.push_str(&chart(back, "worth", &worth(outcome))?);
+    out.push_str("<h2>Latency of what was served, retries folded in</h2>");
+    out.push_str(&chart(back, "ms", &latency(outcome))?);
+    out.push_str("<h2>Limit and calls in flight, by proxy of the first tier</h2>");
+    out.push_str(&chart(back, "calls", &limits(outcome))?);
+    out.push_str("<p>Grey bands are faults, red lines are breaches.</p><h2>Breaches</h2>");
+    if outcome.verdict.breaches.is_empty() {
+        out.push_str("<p>None.</p>");
+    } else {
+        out.push_str("<table><tr><th>Rule<th>At<th>Request<th>Proof</tr>");
+        for b in &outcome.verdict.breaches {
+            let id = b.id.map(|id| format!("{id:016x}")).unwrap_or_default();
+            let (rule, at, proof) = (b.rule.name(), show(b.at), escape(&b.proof));
+            write!(out, "<tr><td>{rule}<td class=n>{at}<td>{id}<td>{proof}</tr>").map_err(text)?;
+        }
+        out.push_str("</table>");
+    }
+    out.push_str(
+        "<h2>Ledgers beside the daemons' own counts</h2><table><tr><th>Figure<th>Seen<th>Counted</tr>",
+    );
+    for l in &outcome.lines {
+        let [least, most] = l.seen;
+        let seen = if least == most { least.to_string() } else { format!("{least} to {most}") };
+        let off = if l.agrees() { "" } else { " class=off" };
+        let what = escape(&l.what);
+        write!(out, "<tr{off}><td>{what}<td class=n>{seen}<td class=n>{}</tr>", l.counted).map_err(text)?;
+    }
+    out.push_str("</table></html>\n");
+    Ok(())
+}
+
+fn escape(text: &str) -> String {
+    let mut out = String::with_capacity(text.len());
+    for c in text.chars() {
+        match c {
+            '&' => out.push_str("&amp;"),
+            '<' => out.push_str("&lt;"),
+            '>' => out.push_str("&gt;"),
+            '"' => out.push_str("&quot;"),
+            c => out.push(c),
+        }
+    }
+    out
+}
+
+fn worth(outcome: &Outcome) -> Vec<Series> {
+    let by_second = &outcome.verdict.worth.by_second;
+    let points = |i: usize| by_second.iter().enumerate().map(|(s, w)| (s as f64 + 0.5, w[i])).collect();
+    let asked = Series { name: "asked".into(), colour: BAND, points: points(0), filled: false };
+    let earned = Series { name: "earned".into(), colour: COLOURS[0], points: points(1), filled: true };
+    vec![earned, asked]
+}
+
+fn latency(outcome: &Outcome) -> Vec<Series> {
+    let plan = &outcome.seen.plan;
+    let mut seconds = vec![Vec::new(); plan.length.div_ceil(SECOND).max(1) as usize];
+    let last = seconds.len() - 1;
+    for t in outcome.seen.ledgers.tries.iter().filter(|t| t.tier == 0 && t.number != PLANNED_REPEAT) {
+        let (End::Served(_), Some(first)) = (&t.end, plan.tries.get(t.first as usize)) else { continue };
+        let second = (first.at.saturating_sub(plan.start) / SECOND) as usize;
+        seconds[second.min(last)].push(t.ended.saturating_sub(t.slow + first.at));
+    }
+    seconds.iter_mut().for_each(|s| s.sort_unstable());
+    let percentile = |share: f64| {
+        let of = |(i, s): (usize, &Vec<Micros>)| {
+            let at = (s.len().checked_sub(1)? as f64 * share).round() as usize;
+            Some((i as f64 + 0.5, *s.get(at)? as f64 / 1000.0))
+        };
+        seconds.iter().enumerate().filter_map(of).collect::<Vec<_>>()
+    };
+    [("median", 0.5), ("90th percentile", 0.9), ("99th percentile", 0.99)]
+        .into_iter()
+        .zip(COLOURS)
+        .map(|((name, share), colour)| Series {
+            name: name.into(),
+            colour,
+            points: percentile(share),
+            filled: false,
+        })
+        .collect()
+}
+
+fn limits(outcome: &Outcome) -> Vec<Series> {
+    let seen = &outcome.seen;
+    let mut series = Vec::new();
+    let of_first = |i: &usize| seen.proxy_tier.get(*i) == Some(&0);
+    for (n, no) in (0..seen.proxies.len()).filter(of_first).enumerate() {
+        let colour = COLOURS[n % COLOURS.len()];
+        let samples = || seen.samples.iter().filter(move |s| usize::from(s.proxy) == no);
+        let at = |t| seconds(t, seen.plan.start).max(0.0);
+        let limit = samples().map(|s| (at(s.at), s.limit)).collect();
+        let in_flight = samples().map(|s| (at(s.at), s.in_flight)).collect();
+        let name = &seen.proxies[no];
+        series.push(Series { name: format!("{name} in flight"), colour, points: in_flight, filled: true });
+        series.push(Series { name: format!("{name} limit"), colour, points: limit, filled: false });
+    }
+    series
+}
+
+fn chart(back: &Backdrop, unit: &str, series: &[Series]) -> Result<String, String> {
+    let mut svg = String::new();
+    draw(&mut svg, back, unit, series).map_err(|e| format!("report: {e}"))?;
+    Ok(svg)
+}
+
+fn draw(
+    svg: &mut String,
+    back: &Backdrop,
+    unit: &str,
+    series: &[Series],
+) -> Result<(), Box<dyn std::error::Error>> {
+    let top = series.iter().flat_map(|s| &s.points).map(|p| p.1).fold(0.0, f64::max).max(1e-3) * 1.25;
+    let root = SVGBackend::with_string(svg, SIZE).into_drawing_area();
+    root.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&root)
+        .margin(8)
+        .x_label_area_size(32)
+        .y_label_area_size(56)
+        .build_cartesian_2d(0.0..back.length, 0.0..top)?;
+    for (from, to, _) in &back.bands {
+        // What strikes at one moment still shows.
+        let area = [(*from, 0.0), (to.max(from + back.length / 400.0).min(back.length), top)];
+        chart.draw_series([Rectangle::new(area, BAND.mix(0.14).filled())])?;
+    }
+    chart
+        .configure_mesh()
+        .disable_x_mesh()
+        .light_line_style(WHITE)
+        .bold_line_style(BLACK.mix(0.1))
+        .x_desc("seconds")
+        .y_desc(unit)
+        .draw()?;
+    for s in series {
+        if s.filled {
+            let area = AreaSeries::new(s.points.iter().copied(), 0.0, s.colour.mix(0.25));
+            chart.draw_series(area.border_style(s.colour.mix(0.7)))?
+        } else {
+            chart.draw_series(LineSeries::new(s.points.iter().copied(), s.colour.stroke_width(2)))?
+        }
+        .label(s.name.as_str())
+        .legend(|(x, y)| Rectangle::new([(x, y - 2), (x + 16, y + 2)], s.colour.filled()));
+    }
+    for at in &back.breaches {
+        chart.draw_series(LineSeries::new([(*at, 0.0), (*at, top)], BREACH.stroke_width(1)))?;
+    }
+    for (i, (from, _, label)) in back.bands.iter().enumerate() {
+        let y = top * (0.98 - 0.075 * (i % ROWS) as f64);
+        let style = ("sans-serif", 12).into_font().color(&BLACK.mix(0.75));
+        chart.draw_series([Text::new(label.clone(), (from + back.length * 0.004, y), style)])?;
+    }
+    chart
+        .configure_series_labels()
+        .position(SeriesLabelPosition::LowerRight)
+        .background_style(WHITE.mix(0.85))
+        .border_style(BLACK.mix(0.2))
+        .draw()?;
+    root.present()?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/heathroad-rehearsal/tests/judged.rs
@@ -0,0 +1,91 @@
+//! The judge on real sockets: it names each vice of a deliberately bad proxy, and none of the sound daemon.
+
+mod common;
+
+use common::*;
+use heathroad_rehearsal::judge::Rule;
+use heathroad_rehearsal::outcome::{Code, Outcome};
+
+fn breaches(o: &Outcome) -> Vec<Rule> {
+    let mut rules: Vec<Rule> = o.verdict.breaches.iter().map(|b| b.rule).collect();
+    rules.sort_unstable();
+    rules.dedup();
+    rules
+}
+
+/// Its vices one by one, and without any: what the judge finds is that and nothing else.
+#[test]
+fn each_vice_of_a_bad_proxy_is_named() {
+    let cases: [(&str, &[Rule], &str); 8] = [
+        ("none", &[], ""),
+        ("loses", &[Rule::Lost], "closed without an answer"),
+        ("is-late", &[Rule::Lost], "after"),
+        ("mixes-up", &[Rule::Lost], "no backend made for it"),
+        ("answers-twice", &[Rule::Lost], "second answer"),
+        ("doubles", &[Rule::Double], "sent again though it may have run"),
+        ("refuses-what-ran", &[Rule::Double], "refused at"),
+        ("keeps-sending", &[Rule::Drain], "is DRAINING"),
+    ];
+    for (vice, rules, proof) in cases {
+        let o = rehearse(&bad_proxy(vice), SMALL, 7);
+        assert_eq!(breaches(&o), rules, "{vice}: {}", o.table());
+        let told = o
+            .verdict
+            .breaches
+            .iter()
+            .all(|b| b.proof.contains(proof) && (b.rule == Rule::Cold || b.id.is_some()));
+        assert!(told, "{vice}: {}", o.table());
+        assert!(o.agrees(), "{vice}: {}", o.table());
+    }
+}
+
+#[test]
+fn a_cold_backend_that_is_pushed_over_is_named() {
+    let o = rehearse(&bad_proxy("pushes-cold"), PUSHED, 7);
+    assert!(breaches(&o).contains(&Rule::Cold), "{}", o.table());
+    let breach = o.verdict.breaches.iter().find(|b| b.rule == Rule::Cold).expect("just seen");
+    assert!(breach.proof.contains("proxy-1") && breach.proof.contains("proxy-2"), "{}", breach.proof);
+    let fell = o.seen.ledgers.lives.iter().any(|l| l.fell.is_some());
+    assert!(fell, "the stand-in fell over by it, and the judge says so from the ledgers alone");
+    // The same day with the daemon: its two proxies together stay within the budget.
+    let sound = sound(PUSHED, 7);
+    assert_eq!(breaches(&sound), [], "{}", sound.table());
+    assert!(sound.seen.ledgers.lives.iter().all(|l| l.fell.is_none()));
+}
+
+/// Bad clients among the others: the bad proxy takes any length and deadline, and is named for it.
+#[test]
+fn who_serves_what_cannot_be_used_is_named() {
+    let rude = SMALL.replace("rude_per_s = 0.0", "rude_per_s = 10.0");
+    let o = rehearse(&bad_proxy("none"), &rude, 7);
+    assert_eq!(breaches(&o), [Rule::Lost], "{}", o.table());
+    assert!(o.verdict.breaches.iter().all(|b| b.proof.contains("a client that sent")), "{}", o.table());
+    assert!(o.verdict.rude[1] > 0, "a head without end is owed a close: {}", o.table());
+    let sound = sound(&rude, 7);
+    assert_eq!((breaches(&sound), sound.verdict.rude[1]), (vec![], 0), "{}", sound.table());
+    assert!(sound.verdict.rude[0] > 20);
+}
+
+#[test]
+fn false_counts_are_named() {
+    let o = rehearse(&bad_proxy("miscounts"), SMALL, 7);
+    assert_eq!(breaches(&o), [], "{}", o.table());
+    assert!(!o.agrees());
+    assert_eq!(o.code() as u8, if o.void.is_empty() { Code::Broken as u8 } else { Code::Void as u8 });
+    assert!(o.table().contains("served: seen"), "{}", o.table());
+}
+
+/// One seed: the same plan and the same verdict, three times over; another seed is another plan.
+#[test]
+fn the_sound_daemon_keeps_all_and_one_seed_gives_one_verdict() {
+    let mut digests = Vec::new();
+    for _ in 0..3 {
+        let o = sound(SMALL, 3);
+        assert_eq!(o.code() as u8, Code::Kept as u8, "{}", o.table());
+        assert!(o.seen.ledgers.arrivals.len() > 100 && o.verdict.tries[0] > 100, "{}", o.table());
+        digests.push(o.seen.plan.digest.clone());
+    }
+    digests.dedup();
+    assert_eq!(digests.len(), 1);
+    assert_ne!(plan(SMALL, 4).digest, digests[0]);
+}
--- a/crates/heathroad/src/discovery.rs
+++ b/crates/heathroad/src/discovery.rs
@@ -50,6 +50,9 @@
         }
         let asked = Instant::now();
         match ask(&mut link, address, seq).await {
+            // An old state that comes behind a newer one would bring a draining backend back. A whole list stands,
+            // whatever its version: discovery itself may have begun anew.
+            Ok(page) if !page.whole && seq.is_some_and(|held| page.seq < held) => sleep(LULL).await,
             Ok(page) => {
                 (seq, pause) = (Some(page.seq), BACKOFF[0]);
                 let news = page.whole || !page.hosts.is_empty();
@@ -116,3 +119,77 @@
     });
     Ok(sender)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::roster::Health;
+    use std::cell::RefCell;
+    use std::rc::Rc;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+    use tokio::task::{LocalSet, spawn_local};
+
+    fn page(seq: u64, whole: bool, health: &str) -> String {
+        format!(
+            r#"{{"seq":{seq},"whole":{whole},"hosts":[{{"host":"a","dial":"127.0.0.1:9","health":"{health}"}}]}}"#
+        )
+    }
+
+    /// Answers each call with the next page, and tells what was asked.
+    async fn registry(listener: TcpListener, pages: Vec<String>) -> Vec<String> {
+        let (mut stream, _) = listener.accept().await.expect("it comes");
+        let mut asked = Vec::new();
+        for page in pages {
+            let mut bytes = vec![0; 1024];
+            let n = stream.read(&mut bytes).await.expect("open");
+            let head = String::from_utf8_lossy(&bytes[..n]).into_owned();
+            asked.push(head.split_whitespace().nth(1).expect("a target").to_string());
+            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{page}", page.len());
+            stream.write_all(answer.as_bytes()).await.expect("open");
+        }
+        asked
+    }
+
+    #[tokio::test]
+    async fn an_old_state_behind_a_newer_one_is_passed_over() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("bound");
+        let pages =
+            [(5, true, "SERVING"), (7, false, "DRAINING"), (6, false, "SERVING"), (2, true, "SERVING")];
+        let pages = pages.map(|(seq, whole, health)| page(seq, whole, health));
+        let (_want, wanted) = watch::channel(true);
+        let heard = Rc::new(RefCell::new(Vec::new()));
+        let hears = heard.clone();
+        let hear = move |news| {
+            let News::List(kind, hosts) = news else { panic!("no call fails") };
+            hears.borrow_mut().push((kind, hosts[0].health));
+        };
+        LocalSet::new()
+            .run_until(async move {
+                let following = spawn_local(follow(hear, addr, false, wanted));
+                let asked = timeout(Duration::from_secs(20), registry(listener, pages.to_vec())).await;
+                let asked = asked.expect("it asks on");
+                let versions: Vec<_> =
+                    asked.iter().map(|a| a.split(['=', '&']).nth(1).unwrap_or("").to_string()).collect();
+                assert_eq!(versions, ["", "5", "7", "7"]);
+                timeout(Duration::from_secs(20), async {
+                    while heard.borrow().len() < 3 {
+                        tokio::task::yield_now().await;
+                    }
+                })
+                .await
+                .expect("the last page is heard");
+                following.abort();
+                // A whole list of a lower version is one of a registry that has begun anew.
+                let all = [ListKind::Full, ListKind::Delta, ListKind::Full];
+                let healths = [Health::Serving, Health::Draining, Health::Serving];
+                let heard: Vec<_> = heard.borrow().iter().map(|(k, h)| (*k, *h == Health::Serving)).collect();
+                assert_eq!(
+                    heard,
+                    all.into_iter().zip(healths.map(|h| h == Health::Serving)).collect::<Vec<_>>()
+                );
+            })
+            .await;
+    }
+}
