--- a/crates/heathroad-rehearsal/src/caller.rs
+++ b/crates/heathroad-rehearsal/src/caller.rs
@@ -4,7 +4,7 @@
 use crate::clock::{Clock, Micros, seconds};
 use crate::http::{Broken, Buffer};
 use crate::ledger::End;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -46,6 +46,8 @@
 pub struct Told {
     /// When its last byte was written.
     pub sent: Option<Micros>,
+    /// When the proxy's close was found to have crossed it, so that it was sent once more.
+    pub crossed: Option<Micros>,
     /// How it ended.
     pub end: End,
     /// When.
@@ -108,7 +110,7 @@
 
     /// Makes one call.
     pub async fn call(self: &Rc<Self>, clock: Clock, to: SocketAddr, ask: &Ask) -> Told {
-        let sent = RefCell::new(None);
+        let (sent, crossed) = (Cell::new(None), Cell::new(None));
         let patience = Duration::from_micros(ask.patience);
         let limit = patience + Duration::from_micros(ask.slow) + PAST + CONNECT;
         let call = async {
@@ -120,17 +122,24 @@
             };
             tokio::select! {
                 biased;
-                end = self.exchange(clock, to, ask, &sent) => end,
-                () = hang_up => if sent.borrow().is_some() { End::HungUp } else { End::Unsent },
+                end = self.exchange(clock, to, ask, &sent, &crossed) => end,
+                () = hang_up => if sent.get().is_some() { End::HungUp } else { End::Unsent },
             }
         };
         let end = timeout(limit, call).await;
-        let sent = sent.into_inner();
+        let (sent, crossed) = (sent.get(), crossed.get());
         let end = end.unwrap_or(if sent.is_some() { End::Silence } else { End::Unsent });
-        Told { sent, end, ended: clock.now() }
+        Told { sent, crossed, end, ended: clock.now() }
     }
 
-    async fn exchange(&self, clock: Clock, to: SocketAddr, ask: &Ask, sent: &RefCell<Option<Micros>>) -> End {
+    async fn exchange(
+        &self,
+        clock: Clock,
+        to: SocketAddr,
+        ask: &Ask,
+        sent: &Cell<Option<Micros>>,
+        crossed: &Cell<Option<Micros>>,
+    ) -> End {
         let mut reused = self.reuse(to);
         loop {
             let kept = reused.is_some();
@@ -147,7 +156,7 @@
                 }
                 return End::Unsent;
             }
-            *sent.borrow_mut() = Some(clock.now());
+            sent.set(Some(clock.now()));
             if ask.slow > 0 {
                 sleep(Duration::from_micros(ask.slow)).await;
             }
@@ -158,7 +167,8 @@
                 Ok(Err(Broken::Garbled)) => return End::Garbled,
                 // The proxy's close has crossed the request: it is sent once more on a new connection.
                 Ok(Err(Broken::Ended(false))) if kept => {
-                    *sent.borrow_mut() = None;
+                    sent.set(None);
+                    crossed.set(Some(clock.now()));
                     continue;
                 }
                 Ok(Err(Broken::Ended(begun))) => return End::Broken(begun),
--- a/crates/heathroad-rehearsal/src/cli.rs
+++ b/crates/heathroad-rehearsal/src/cli.rs
@@ -122,6 +122,11 @@
         let size = if f.size == 0.0 { String::new() } else { format!(" ({})", f.size) };
         say(&format!("  at {when} for {} s: {}{size}{whom}", f.for_s, f.what.name()));
     }
+    if let Some(d) = &s.drawn {
+        let kinds: Vec<&str> = d.kinds.iter().map(|k| k.name()).collect();
+        let [from, to] = d.for_s;
+        say(&format!("  {} faults drawn by the seed, of {from} to {to} s: {}", d.count, kinds.join(", ")));
+    }
     for e in &s.expect {
         let bound = |word: &str, b: Option<f64>| b.map(|b| format!(" {word} {b}")).unwrap_or_default();
         say(&format!(
--- a/crates/heathroad-rehearsal/src/ledger.rs
+++ b/crates/heathroad-rehearsal/src/ledger.rs
@@ -50,6 +50,9 @@
     pub due: Micros,
     /// When its last byte was written, if it was.
     pub sent: Option<Micros>,
+    /// When it was given up on a kept connection that the proxy had closed without a byte, to be sent once more on a
+    /// new one: rightly so only if the proxy had not read it.
+    pub crossed: Option<Micros>,
     /// How long its sender said to wait.
     pub patience: Micros,
     /// Time that its sender took for reading, which is nobody else's.
--- a/crates/heathroad-rehearsal/src/load.rs
+++ b/crates/heathroad-rehearsal/src/load.rs
@@ -222,9 +222,9 @@
             }
         };
         let (proxy, told) = told;
-        let (sent, end, ended) = match told {
-            Some(told) => (told.sent, told.end, told.ended),
-            None => (None, End::Unsent, self.clock.now()),
+        let (sent, crossed, end, ended) = match told {
+            Some(told) => (told.sent, told.crossed, told.end, told.ended),
+            None => (None, None, End::Unsent, self.clock.now()),
         };
         if end == End::Unsent && out_of_descriptors() {
             self.starved.set(self.starved.get() + 1);
@@ -241,6 +241,7 @@
             proxy,
             due,
             sent,
+            crossed,
             patience,
             slow,
             end: end.clone(),
--- a/crates/heathroad-rehearsal/src/report.rs
+++ b/crates/heathroad-rehearsal/src/report.rs
@@ -206,7 +206,7 @@
     chart
         .configure_mesh()
         .disable_x_mesh()
-        .light_line_style(WHITE)
+        .max_light_lines(0)
         .bold_line_style(BLACK.mix(0.1))
         .x_desc("seconds")
         .y_desc(unit)
@@ -231,7 +231,7 @@
     }
     chart
         .configure_series_labels()
-        .position(SeriesLabelPosition::LowerRight)
+        .position(SeriesLabelPosition::UpperRight)
         .background_style(WHITE.mix(0.85))
         .border_style(BLACK.mix(0.2))
         .draw()?;
--- a/crates/heathroad-rehearsal/src/scenario.rs
+++ b/crates/heathroad-rehearsal/src/scenario.rs
@@ -13,6 +13,8 @@
     ("rolling-restart", include_str!("../../../rehearsals/rolling-restart.toml")),
     ("spoilt", include_str!("../../../rehearsals/spoilt.toml")),
     ("registry", include_str!("../../../rehearsals/registry.toml")),
+    ("any-night", include_str!("../../../rehearsals/any-night.toml")),
+    ("flood", include_str!("../../../rehearsals/flood.toml")),
     ("short", include_str!("../../../rehearsals/short.toml")),
 ];
 const COMMON: &str = include_str!("../../../rehearsals/common.toml");
@@ -40,6 +42,9 @@
     /// What goes wrong.
     #[serde(default)]
     pub fault: Vec<Fault>,
+    /// Faults drawn by the seed, beside those written down.
+    #[serde(default)]
+    pub drawn: Option<Drawn>,
     /// Keyed requests that are repeated whatever their answer was.
     #[serde(default)]
     pub repeat: Vec<Repeat>,
@@ -232,6 +237,18 @@
     pub size: f64,
 }
 
+/// Faults that the seed draws: kind, time, length and victim.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Drawn {
+    /// How many: 1 to 100.
+    pub count: u16,
+    /// Of which kinds.
+    pub kinds: Vec<What>,
+    /// How long they last, between these.
+    pub for_s: [f64; 2],
+}
+
 /// What can go wrong.
 #[derive(Debug, Clone, Copy, Deserialize, PartialEq, Eq, PartialOrd, Ord)]
 #[serde(rename_all = "kebab-case")]
@@ -306,6 +323,18 @@
             What::RegistryClock => "registry-clock",
         }
     }
+    /// The size that a drawn fault of this kind has.
+    pub fn usual_size(self) -> f64 {
+        match self {
+            What::Crawl => 5.0,
+            What::Starve => 0.6,
+            What::Reset | What::Spoil => 0.1,
+            What::Decline => 0.3,
+            What::RegistryLate => 2.0,
+            What::RegistryClock => 3600.0,
+            _ => 0.0,
+        }
+    }
     fn size_bounds(self) -> Option<[f64; 2]> {
         match self {
             What::Crawl => Some([1.0, 1000.0]),
@@ -511,6 +540,12 @@
                 ranges.push((format!("fault[{i}].size"), f.size, bounds));
             }
         }
+        if let Some(d) = &self.drawn {
+            ranges.push(("drawn.count".into(), f64::from(d.count), [1.0, 100.0]));
+            ranges.push(("drawn.kinds".into(), d.kinds.len() as f64, [1.0, 100.0]));
+            ranges.push(("drawn.for_s[0]".into(), d.for_s[0], [0.0, d.for_s[1]]));
+            ranges.push(("drawn.for_s[1]".into(), d.for_s[1], [0.0, 3600.0]));
+        }
         for (i, r) in self.repeat.iter().enumerate() {
             ranges.push((format!("repeat[{i}].at_s"), r.at_s, [0.0, self.run.seconds]));
             ranges.push((format!("repeat[{i}].after_s"), r.after_s, [0.01, self.run.seconds]));
--- a/crates/heathroad-rehearsal/src/stage.rs
+++ b/crates/heathroad-rehearsal/src/stage.rs
@@ -80,7 +80,7 @@
     pub stage_late: Histogram<u64>,
     /// First tries that the driver could not begin.
     pub dropped: u64,
-    /// Tries that failed for want of descriptors at the driver.
+    /// Tries and connections that failed for want of descriptors at the driver and the stand-ins.
     pub starved: u64,
     /// It was ended early.
     pub interrupted: bool,
@@ -726,7 +726,7 @@
             driver_late: driven.lateness,
             stage_late: self.stage_late.borrow().clone(),
             dropped: driven.dropped,
-            starved: driven.starved,
+            starved: driven.starved + self.world.starved.get(),
             interrupted: *self.setting.stop.borrow(),
             troubles: self.troubles.take(),
         })
--- a/crates/heathroad-rehearsal/tests/judge.rs
+++ b/crates/heathroad-rehearsal/tests/judge.rs
@@ -31,6 +31,7 @@
         proxy: 0,
         due: 0,
         sent: Some(SECOND),
+        crossed: None,
         patience: SECOND,
         slow: 0,
         end: End::Served(id),
@@ -133,6 +134,22 @@
     assert_eq!(breach(&one(t, vec![arrival(7, SAFE, SECOND)])), None);
 }
 
+/// A close between requests may cross one that the proxy has not read; its sender sends it once more.
+#[test]
+fn a_close_that_crosses_a_request_takes_nothing_that_was_read() {
+    let crossed = |before: &[Micros]| {
+        let t = Try { crossed: Some(SECOND), sent: Some(SECOND + MS), ..try_of(7, UNSAFE) };
+        let first = before.iter().map(|at| Arrival { mark: 6, ..arrival(7, UNSAFE, *at) });
+        breach(&one(t, first.chain([arrival(7, UNSAFE, SECOND + 2 * MS)]).collect()))
+    };
+    assert_eq!(crossed(&[]), None);
+    let (rule, proof) = crossed(&[SECOND - MS]).expect("a breach");
+    assert!(
+        rule == Rule::Lost && proof.contains("after it had been passed on"),
+        "one loss, and no double: {proof}"
+    );
+}
+
 #[test]
 fn what_a_killed_proxy_held_is_not_lost() {
     for end in [End::Broken(false), End::Silence] {
--- /dev/null
+++ b/crates/heathroad-rehearsal/tests/stage.rs
@@ -0,0 +1,130 @@
+//! Faults that the stage works on processes and on the list, each seen in what the ledgers hold, with the real daemon
+//! between; and agreement under them.
+
+mod common;
+
+use common::*;
+use heathroad_rehearsal::ledger::{Did, Fate, Health};
+use heathroad_rehearsal::outcome::Outcome;
+use heathroad_rehearsal::scenario::What;
+
+/// Two tiers, so that backends have proxies at their side.
+const PROCESSES: &str = r#"
+title = "processes"
+about = "proxies and backends that come and go"
+[run]
+seconds = 9.0
+rate = 60.0
+[clients]
+hang_up = 0.0
+rude_per_s = 0.0
+[[tier]]
+name = "gate"
+backends = 3
+work = 0.3
+cores = 2
+slots = 32
+queue = 32
+connections = 64
+cold_from = 0.3
+cold_s = 3.0
+calls = 1
+[[tier]]
+name = "store"
+backends = 3
+work = 0.3
+cores = 2
+slots = 32
+queue = 32
+connections = 64
+cold_from = 0.3
+cold_s = 3.0
+[[fault]]
+what = "reload-proxy"
+on = ["proxy-1"]
+at_s = 0.5
+[[fault]]
+what = "drain"
+on = ["store-1"]
+at_s = 1.0
+for_s = 2.0
+[[fault]]
+what = "replace"
+on = ["gate-1"]
+at_s = 1.5
+for_s = 0.3
+[[fault]]
+what = "delete"
+on = ["store-2"]
+at_s = 2.5
+[[fault]]
+what = "kill-proxy"
+on = ["proxy-2"]
+at_s = 3.0
+for_s = 0.5
+[[fault]]
+what = "stop-proxy"
+on = ["proxy-1"]
+at_s = 6.0
+for_s = 0.2
+"#;
+
+fn acts(o: &Outcome, proxy: u16) -> Vec<Did> {
+    let of = o.seen.ledgers.acts.iter().filter(|a| a.proxy == proxy);
+    of.map(|a| a.what).collect()
+}
+
+#[test]
+fn processes_that_come_and_go_are_seen_and_break_nothing() {
+    let o = sound(PROCESSES, 2);
+    assert!(o.verdict.breaches.is_empty() && o.agrees() && o.seen.troubles.is_empty(), "{}", o.table());
+    let started = o.seen.proxies.len() as u16;
+    assert_eq!(started, 5, "two, and one at the side of each gate");
+    use Did::{Killed, Reloaded, Started, Stopped};
+    assert_eq!(acts(&o, 0), [Started, Reloaded, Stopped, Started, Stopped]);
+    assert_eq!(acts(&o, 1), [Started, Killed, Started, Stopped]);
+    // The proxy at the side of the gate that dies dies with it, and serves its heir.
+    assert_eq!(acts(&o, 2), [Started, Killed, Started, Stopped]);
+
+    let host = |name: &str| o.seen.hosts.iter().position(|h| h == name).expect(name) as u16;
+    let told = |host: u16, health| o.seen.ledgers.told.iter().find(|t| t.host == host && t.health == health);
+    let last_sent = |host: u16| {
+        let sent = o.seen.ledgers.arrivals.iter().filter(|a| a.host == host);
+        sent.map(|a| a.first_byte).max().expect("it was used before")
+    };
+    // One that drains is told so, and gets nothing from then on but for the grace.
+    let drained = told(host("store-1"), Health::Draining).expect("told").at;
+    assert!(last_sent(host("store-1")) < drained + 550_000);
+    assert!(told(host("store-1"), Health::Deleted).expect("told").at > drained + 1_900_000);
+    // One that leaves the list without a drain.
+    assert!(told(host("store-2"), Health::Draining).is_none());
+    let gone = told(host("store-2"), Health::Deleted).expect("told").at;
+    assert!(last_sent(host("store-2")) < gone + 550_000);
+    // Another host at the same address, under a new id, which starts cold and is used.
+    let heir = o.seen.hosts.iter().position(|h| h.starts_with("gate-1-new")).expect("an heir") as u16;
+    assert!(o.seen.ledgers.lives.iter().any(|l| l.host == heir && !l.warm));
+    assert!(o.seen.ledgers.arrivals.iter().any(|a| a.host == heir && a.fate == Fate::Ran));
+    // The reloaded proxy was told of later changes, at its new address.
+    assert!(o.seen.ledgers.told.iter().any(|t| t.proxy == 0 && t.host == heir));
+    // A killed process takes its counts along, and the lines that it may explain say so.
+    assert!(o.lines.iter().any(|l| l.killed));
+}
+
+/// Faults that a seed draws: the same night again for the same seed, another for another, each on a victim.
+#[test]
+fn a_seed_draws_the_same_faults_again() {
+    let text = include_str!("../../../rehearsals/any-night.toml");
+    let faults = |seed| plan(text, seed).faults;
+    assert_eq!(faults(1), faults(1));
+    assert_ne!(faults(1), faults(2));
+    let mut kinds = std::collections::BTreeSet::new();
+    for seed in 0..200 {
+        for f in faults(seed) {
+            assert!(f.at >= 2_000_000 && f.until >= f.at && f.until < 20_000_000, "{f:?}");
+            assert_eq!(f.victims.len(), 1, "{f:?}");
+            kinds.insert(f.what);
+        }
+    }
+    assert_eq!(kinds.len(), 14, "{kinds:?}");
+    assert!(!kinds.contains(&What::RegistryDown));
+}
--- a/crates/heathroad/src/main.rs
+++ b/crates/heathroad/src/main.rs
@@ -1,4 +1,16 @@
-//! heathroad: the balancer's decisions as a real proxy on sockets. Start, signals and wiring.
+//! heathroad, a balancing proxy for services that call services: the decisions of `turnshift` on real sockets.
+//!
+//! A request goes one way through the modules:
+//!
+//! - `front` takes it from its caller, checks it, and writes its one answer.
+//! - `engine` alone owns the decision module: it turns what happens on the sockets into the module's events, in one
+//!   order, and carries out its actions.
+//! - `backend` carries out attempts over kept connections, and says what each ending means; `stream` watches how far
+//!   a request got on a connection.
+//!
+//! Beside that way: `config` is read at the start, `discovery` follows the list of backends (`roster` is its form),
+//! `counts` and `admin` tell operators what was done, `cli` is the command line. Everything runs on one thread.
+//! This file holds the start, the signals and the wiring.
 
 mod admin;
 mod backend;
