--- a/crates/heathroad-rehearsal/src/agreement.rs
+++ b/crates/heathroad-rehearsal/src/agreement.rs
@@ -144,12 +144,12 @@
                 let mut by_id: BTreeMap<u64, u64> = BTreeMap::new();
                 arrivals.iter().for_each(|a| *by_id.entry(a.id).or_default() += 1);
                 let again = by_id.values().map(|n| n - 1).sum::<u64>();
-                // Those that their senders sent once more are nobody's resends.
+                // Those that their senders sent once more may have come twice with nobody's resend.
                 let crossed = seen.ledgers.tries.iter().filter(|t| t.tier == tier && t.crossed.is_some());
-                let again = again.saturating_sub(crossed.count() as u64);
+                let least = again.saturating_sub(crossed.count() as u64);
                 // Those before or behind which nothing arrived are seen by the daemon alone.
                 let unseen = ended("connect_failed") + ended("unsent") + unsure;
-                [again, again + unseen]
+                [least, again + unseen]
             },
             [
                 "error",
--- a/crates/heathroad-rehearsal/src/ledger.rs
+++ b/crates/heathroad-rehearsal/src/ledger.rs
@@ -224,8 +224,10 @@
 /// Something that the stage did to a proxy's process.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Act {
-    /// When.
+    /// When it was begun.
     pub at: Micros,
+    /// When it was done: a process that is killed takes a moment to be gone.
+    pub until: Micros,
     /// To whom.
     pub proxy: ProxyNo,
     /// What.
--- a/crates/heathroad-rehearsal/src/stage.rs
+++ b/crates/heathroad-rehearsal/src/stage.rs
@@ -357,8 +357,13 @@
     }
 
     fn act(&self, proxy: ProxyNo, what: Did) {
-        let at = self.world.clock.now();
-        self.world.ledgers.borrow_mut().acts.push(Act { at, proxy, what });
+        self.acted(self.world.clock.now(), proxy, what);
+    }
+
+    /// An act that was begun at a time is done.
+    fn acted(&self, at: Micros, proxy: ProxyNo, what: Did) {
+        let until = self.world.clock.now();
+        self.world.ledgers.borrow_mut().acts.push(Act { at, until, proxy, what });
     }
 
     fn config(&self, slot: &Slot, registry: std::net::SocketAddr) -> Value {
@@ -493,9 +498,9 @@
         slot.away.set(true);
         let daemon = slot.daemon.take();
         if let Some(mut daemon) = daemon {
-            let usage = daemon.usage();
-            self.act(no, Did::Killed);
+            let (usage, begun) = (daemon.usage(), self.world.clock.now());
             daemon.kill();
+            self.acted(begun, no, Did::Killed);
             self.counts.borrow_mut().push(Counted { proxy: no, counts: None, usage });
         }
     }
--- /dev/null
+++ b/crates/heathroad-routing/src/file.rs
@@ -0,0 +1,694 @@
+//! The configuration file of routes and pools: TOML, read with lines, checked whole. Whatever is wrong is told at
+//! once, so that nobody mends a file error by error.
+
+use crate::fault::{Fault, Faults};
+use crate::split::Share;
+use crate::table::Match;
+use serde::Serialize;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use toml::Spanned;
+use toml::de::{DeTable, DeValue};
+
+/// Most bytes of a file.
+pub const MAX_BYTES: usize = 16 << 20;
+/// Most routes.
+pub const MAX_ROUTES: usize = 100_000;
+/// Most pools.
+pub const MAX_POOLS: usize = 1_000;
+/// Longest time that may be named, in milliseconds: a day.
+const MAX_MS: f64 = 86_400_000.0;
+
+/// What a file says, checked.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Config {
+    /// Tenants, where they are named; requests of others match no route that asks for a tenant.
+    pub tenants: Vec<String>,
+    /// Pools.
+    pub pools: Vec<Pool>,
+    /// Routes.
+    pub routes: Vec<Route>,
+}
+
+/// Backends that serve the same classes.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Pool {
+    /// Its name.
+    pub name: String,
+    /// Where its backends come from.
+    pub source: Source,
+    /// The classes that it serves.
+    pub classes: Vec<Class>,
+    /// Most open requests; none is the daemon's own bound.
+    pub open: Option<u32>,
+}
+
+/// Where a pool's backends come from.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub enum Source {
+    /// A list in the file.
+    List(Vec<Member>),
+    /// A registry, and which of its hosts.
+    Registry {
+        /// Its address; none is the one that the daemon was started with.
+        address: Option<SocketAddr>,
+        /// Labels that a host must bear: `site`, `class`, `block`.
+        select: BTreeMap<String, String>,
+    },
+}
+
+/// A backend that a file lists.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Member {
+    /// Its address, which is its name too.
+    pub address: SocketAddr,
+    /// Its site.
+    pub site: String,
+    /// Its block: the small group that drops each other's repeats.
+    pub block: u16,
+    /// Its size beside the others'.
+    pub weight: f64,
+}
+
+/// A class of requests, as a pool serves it.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Class {
+    /// Its name.
+    pub name: String,
+    /// Whether it may run again.
+    pub effect: Effect,
+    /// An answer within this time earns the full worth, in milliseconds.
+    pub aim_ms: f64,
+    /// Longest time that a request of it may take, in milliseconds.
+    pub deadline_ms: f64,
+    /// Worth of a request.
+    pub worth: f64,
+}
+
+/// Whether a request may run again.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub enum Effect {
+    /// Safe to repeat.
+    Safe,
+    /// Repeats are dropped by the backends of a group, for a window.
+    Keyed {
+        /// Which backends drop each other's repeats.
+        group: Group,
+        /// For how long, in milliseconds.
+        window_ms: f64,
+    },
+    /// Must never run twice.
+    Unsafe,
+}
+
+/// Which backends drop each other's repeats.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub enum Group {
+    /// All of the pool.
+    All,
+    /// Those of one site.
+    Site,
+    /// Those of one block.
+    Block,
+}
+
+/// A route: which requests, and where they go.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Route {
+    /// Its name.
+    pub name: String,
+    /// Which requests.
+    pub when: Match,
+    /// Where they go; one share for a plain route.
+    pub to: Vec<Share>,
+    /// Its line in the file.
+    pub line: usize,
+}
+
+/// Reads and checks a file's text. `file` is its name in messages.
+pub fn read(file: &str, text: &str) -> Result<Config, Faults> {
+    let lines = Lines { text, list: RefCell::default() };
+    let config = lines.config();
+    let mut list = lines.list.into_inner();
+    if list.is_empty()
+        && let Some(config) = config
+    {
+        return Ok(config);
+    }
+    list.sort();
+    list.dedup();
+    Err(Faults { file: file.to_string(), list })
+}
+
+struct Lines<'a> {
+    text: &'a str,
+    list: RefCell<Vec<Fault>>,
+}
+
+/// A table of the file, and which of its fields were asked for.
+struct Section<'a, 't> {
+    lines: &'a Lines<'a>,
+    table: &'t DeTable<'t>,
+    at: usize,
+    path: String,
+    known: RefCell<BTreeSet<&'static str>>,
+}
+
+impl<'a> Lines<'a> {
+    fn line(&self, at: usize) -> usize {
+        1 + self.text.as_bytes()[..at.min(self.text.len())].iter().filter(|b| **b == b'\n').count()
+    }
+
+    fn fault(
+        &self,
+        at: usize,
+        field: impl Into<String>,
+        reason: impl Into<String>,
+        expected: impl Into<String>,
+    ) {
+        let line = self.line(at);
+        let (field, reason, expected) = (field.into(), reason.into(), expected.into());
+        self.list.borrow_mut().push(Fault { line, field, reason, expected });
+    }
+
+    fn config(&self) -> Option<Config> {
+        if self.text.len() > MAX_BYTES {
+            self.fault(0, "file", format!("{} bytes", self.text.len()), format!("{MAX_BYTES} at most"));
+            return None;
+        }
+        let (table, errors) = DeTable::parse_recoverable(self.text);
+        for e in errors {
+            let at = e.span().map_or(0, |s| s.start);
+            self.fault(at, "file", e.message().replace('\n', " "), "TOML 1.0");
+        }
+        if !self.list.borrow().is_empty() {
+            return None;
+        }
+        let root = self.section(table.get_ref(), 0, String::new());
+        let tenants = root.texts("tenants");
+        let pools = self.pools(&root);
+        let names: Vec<String> = pools.iter().map(|(p, _)| p.name.clone()).collect();
+        let routes = self.routes(&root, &pools, &names, &tenants);
+        root.end();
+        self.members(&pools);
+        let pools = pools.into_iter().map(|(p, _)| p).collect();
+        Some(Config { tenants, pools, routes })
+    }
+
+    fn section<'t>(&'a self, table: &'t DeTable<'t>, at: usize, path: String) -> Section<'a, 't> {
+        Section { lines: self, table, at, path, known: RefCell::default() }
+    }
+
+    fn pools(&'a self, root: &Section<'a, '_>) -> Vec<(Pool, usize)> {
+        let mut pools = Vec::new();
+        let mut names = BTreeMap::new();
+        for s in root.sections("pool", MAX_POOLS) {
+            let name = s.name(&mut names);
+            let source = s.source();
+            let mut class_names = BTreeMap::new();
+            let classes: Vec<Class> =
+                s.sections("class", 1_000).iter().map(|c| c.class(&mut class_names)).collect();
+            if classes.is_empty() {
+                self.fault(s.at, s.field("class"), "is missing or empty", "one [[pool.class]] at the least");
+            }
+            let open = s.whole("open", 1, 1_000_000);
+            s.end();
+            pools.push((Pool { name, source, classes, open }, s.at));
+        }
+        if pools.is_empty() {
+            self.fault(0, "pool", "is missing or empty", "one [[pool]] at the least");
+        }
+        pools
+    }
+
+    /// One address is one node: whoever names it must say the same of it.
+    fn members(&self, pools: &[(Pool, usize)]) {
+        let mut seen: BTreeMap<SocketAddr, (&Member, &str)> = BTreeMap::new();
+        for (i, (pool, at)) in pools.iter().enumerate() {
+            let Source::List(members) = &pool.source else { continue };
+            let mut own = BTreeSet::new();
+            for m in members {
+                let field = format!("pool[{i}].backends");
+                if !own.insert(m.address) {
+                    self.fault(
+                        *at,
+                        &field,
+                        format!("{} comes twice", m.address),
+                        "each address once in a pool",
+                    );
+                }
+                match seen.get(&m.address) {
+                    Some((other, of)) if (&other.site, other.block) != (&m.site, m.block) => self.fault(
+                        *at,
+                        &field,
+                        format!("{} is of another site or block in pool {of:?}", m.address),
+                        "one node to be the same in all pools",
+                    ),
+                    Some(_) => {}
+                    None => drop(seen.insert(m.address, (m, &pool.name))),
+                }
+            }
+        }
+    }
+
+    fn routes(
+        &'a self,
+        root: &Section<'a, '_>,
+        pools: &[(Pool, usize)],
+        pool_names: &[String],
+        tenants: &[String],
+    ) -> Vec<Route> {
+        let mut routes = Vec::new();
+        let mut names = BTreeMap::new();
+        for s in root.sections("route", MAX_ROUTES) {
+            let name = s.name(&mut names);
+            let when = s.when();
+            if let Some(tenant) = when.tenant.as_ref().filter(|t| !tenants.is_empty() && !tenants.contains(t))
+            {
+                let expected = format!("one of `tenants`: {}", tenants.join(", "));
+                self.fault(s.at, s.field("tenant"), format!("no tenant {tenant:?}, unreachable"), expected);
+            }
+            let to = s.to(pool_names);
+            for share in &to {
+                let Some((pool, _)) = pools.get(share.pool) else { continue };
+                let serves = |class: &String| pool.classes.iter().any(|c| c.name == *class);
+                if let Some(class) = when.class.as_ref().filter(|c| !serves(c)) {
+                    let reason = format!("pool {:?} does not serve {class:?}, unreachable", pool.name);
+                    let known: Vec<&str> = pool.classes.iter().map(|c| c.name.as_str()).collect();
+                    self.fault(s.at, s.field("class"), reason, format!("one of {}", known.join(", ")));
+                }
+            }
+            s.end();
+            routes.push(Route { name, when, to, line: self.line(s.at) });
+        }
+        if routes.is_empty() {
+            self.fault(0, "route", "is missing or empty", "one [[route]] at the least");
+        }
+        for clash in crate::table::clashes(&routes) {
+            let (one, other) = (&routes[clash.one], &routes[clash.other]);
+            let at = self.text.lines().take(other.line - 1).map(|l| l.len() + 1).sum();
+            let (field, reason) = (format!("route[{}]", clash.other), clash.reason(one));
+            self.fault(at, field, reason, "for each request one route that is most specific");
+        }
+        routes
+    }
+}
+
+impl<'a, 't> Section<'a, 't> {
+    fn field(&self, name: &str) -> String {
+        if self.path.is_empty() { name.to_string() } else { format!("{}.{name}", self.path) }
+    }
+
+    fn wrong(&self, value: &Spanned<DeValue<'_>>, name: &str, reason: impl Into<String>, expected: &str) {
+        self.lines.fault(value.span().start, self.field(name), reason, expected);
+    }
+
+    fn get(&self, name: &'static str) -> Option<&'t Spanned<DeValue<'t>>> {
+        self.known.borrow_mut().insert(name);
+        self.table.iter().find(|(k, _)| k.get_ref().as_ref() == name).map(|(_, v)| v)
+    }
+
+    /// Every field that nobody asked for is unknown.
+    fn end(&self) {
+        let known = self.known.borrow();
+        for (key, _) in self.table.iter().filter(|(k, _)| !known.contains(k.get_ref().as_ref())) {
+            let list: Vec<&str> = known.iter().copied().collect();
+            let field = self.field(key.get_ref());
+            self.lines.fault(key.span().start, field, "unknown field", format!("one of {}", list.join(", ")));
+        }
+    }
+
+    fn missing(&self, name: &str, expected: &str) {
+        self.lines.fault(self.at, self.field(name), "is missing", expected);
+    }
+
+    fn text(&self, name: &'static str) -> Option<String> {
+        let value = self.get(name)?;
+        match value.get_ref().as_str() {
+            Some(text) if !text.is_empty() => Some(text.to_string()),
+            _ => {
+                self.wrong(value, name, format!("is {}", kind(value.get_ref())), "a text that is not empty");
+                None
+            }
+        }
+    }
+
+    fn texts(&self, name: &'static str) -> Vec<String> {
+        let Some(value) = self.get(name) else { return Vec::new() };
+        let Some(array) = value.get_ref().as_array() else {
+            self.wrong(value, name, format!("is {}", kind(value.get_ref())), "a list of texts");
+            return Vec::new();
+        };
+        let mut texts: Vec<String> = Vec::new();
+        for item in array.iter() {
+            match item.get_ref().as_str() {
+                Some(text) if texts.iter().any(|t| t == text) => {
+                    self.wrong(item, name, format!("{text:?} comes twice"), "each once");
+                }
+                Some(text) if !text.is_empty() => texts.push(text.to_string()),
+                _ => self.wrong(
+                    item,
+                    name,
+                    format!("holds {}", kind(item.get_ref())),
+                    "texts that are not empty",
+                ),
+            }
+        }
+        texts
+    }
+
+    fn number(&self, name: &'static str, low: f64, high: f64) -> Option<f64> {
+        let value = self.get(name)?;
+        let number = match value.get_ref() {
+            DeValue::Integer(i) => i64::from_str_radix(i.as_str(), i.radix()).ok().map(|i| i as f64),
+            DeValue::Float(f) => f.as_str().parse().ok(),
+            _ => None,
+        };
+        match number {
+            Some(x) if x >= low && x <= high => Some(x),
+            Some(x) => {
+                self.wrong(value, name, format!("is {x}"), &format!("a number from {low} to {high}"));
+                None
+            }
+            None => {
+                let expected = format!("a number from {low} to {high}");
+                self.wrong(value, name, format!("is {}", kind(value.get_ref())), &expected);
+                None
+            }
+        }
+    }
+
+    fn must(&self, name: &'static str, low: f64, high: f64) -> f64 {
+        if self.get(name).is_none() {
+            self.missing(name, &format!("a number from {low} to {high}"));
+        }
+        self.number(name, low, high).unwrap_or(low)
+    }
+
+    fn whole(&self, name: &'static str, low: u32, high: u32) -> Option<u32> {
+        let x = self.number(name, f64::from(low), f64::from(high))?;
+        if x.fract() != 0.0
+            && let Some(value) = self.get(name)
+        {
+            self.wrong(value, name, format!("is {x}"), "a whole number");
+        }
+        Some(x as u32)
+    }
+
+    fn sections(&self, name: &'static str, most: usize) -> Vec<Section<'a, 't>> {
+        let Some(value) = self.get(name) else { return Vec::new() };
+        let Some(array) = value.get_ref().as_array() else {
+            self.wrong(value, name, format!("is {}", kind(value.get_ref())), "a list of tables");
+            return Vec::new();
+        };
+        if array.len() > most {
+            self.wrong(value, name, format!("has {} entries", array.len()), &format!("{most} at most"));
+            return Vec::new();
+        }
+        let mut sections = Vec::new();
+        for (i, item) in array.iter().enumerate() {
+            match item.get_ref().as_table() {
+                Some(table) => {
+                    let path = format!("{}[{i}]", self.field(name));
+                    sections.push(self.lines.section(table, item.span().start, path));
+                }
+                None => self.wrong(item, name, format!("holds {}", kind(item.get_ref())), "tables"),
+            }
+        }
+        sections
+    }
+
+    /// A name that is nobody else's.
+    fn name(&self, seen: &mut BTreeMap<String, usize>) -> String {
+        let Some(name) = self.text("name") else {
+            if self.get("name").is_none() {
+                self.missing("name", "a text that is not empty");
+            }
+            return String::new();
+        };
+        let line = self.lines.line(self.at);
+        if let Some(first) = seen.insert(name.clone(), line) {
+            let reason = format!("{name:?} is a name of line {first} too");
+            self.lines.fault(self.at, self.field("name"), reason, "a name of its own");
+        }
+        name
+    }
+
+    fn address(&self, value: &Spanned<DeValue<'_>>, name: &str) -> Option<SocketAddr> {
+        let text = value.get_ref().as_str();
+        let address = text.and_then(|t| t.parse().ok());
+        if address.is_none() {
+            let is = text.map_or_else(|| kind(value.get_ref()).to_string(), |t| format!("{t:?}"));
+            self.wrong(value, name, format!("is {is}"), "an address and port, such as 10.1.0.18:9000");
+        }
+        address
+    }
+
+    fn source(&self) -> Source {
+        let (list, registry, select) = (self.get("backends"), self.get("registry"), self.get("select"));
+        match (list, registry.or(select)) {
+            (Some(list), None) => Source::List(self.list(list)),
+            (None, Some(_)) => {
+                let address = match registry.map(|r| (r, r.get_ref().as_str())) {
+                    None | Some((_, Some("default"))) => None,
+                    Some((value, _)) => self.address(value, "registry"),
+                };
+                let mut labels = BTreeMap::new();
+                match select.map(|s| (s, s.get_ref().as_table())) {
+                    None => {}
+                    Some((_, Some(table))) => {
+                        let s = self.lines.section(table, self.at, self.field("select"));
+                        for label in ["site", "class", "block"] {
+                            if let Some(value) = s.text(label) {
+                                labels.insert(label.to_string(), value);
+                            }
+                        }
+                        s.end();
+                    }
+                    Some((value, None)) => {
+                        self.wrong(
+                            value,
+                            "select",
+                            format!("is {}", kind(value.get_ref())),
+                            "a table of labels",
+                        );
+                    }
+                }
+                Source::Registry { address, select: labels }
+            }
+            (both, _) => {
+                let reason = if both.is_some() {
+                    "both a list and a registry"
+                } else {
+                    "neither a list nor a registry"
+                };
+                let expected = "`backends`, or `registry` (an address, or \"default\") with `select`";
+                self.lines.fault(self.at, self.field("backends"), reason, expected);
+                Source::List(Vec::new())
+            }
+        }
+    }
+
+    /// Addresses, or tables of address, site, block and weight.
+    fn list(&self, value: &'t Spanned<DeValue<'t>>) -> Vec<Member> {
+        let expected = "a list of addresses, or of tables with `address`";
+        let Some(array) = value.get_ref().as_array() else {
+            self.wrong(value, "backends", format!("is {}", kind(value.get_ref())), expected);
+            return Vec::new();
+        };
+        if array.is_empty() {
+            self.wrong(value, "backends", "is empty", "one backend at the least");
+        }
+        let mut members = Vec::new();
+        for (i, item) in array.iter().enumerate() {
+            let member = match item.get_ref() {
+                DeValue::Table(table) => {
+                    let path = format!("{}[{i}]", self.field("backends"));
+                    let s = self.lines.section(table, item.span().start, path);
+                    let address = s.get("address").and_then(|a| s.address(a, "address"));
+                    if s.get("address").is_none() {
+                        s.missing("address", "an address and port");
+                    }
+                    let site = s.text("site").unwrap_or_default();
+                    let block = s.whole("block", 0, u32::from(u16::MAX)).unwrap_or(0) as u16;
+                    let weight = s.number("weight", 0.01, 1000.0).unwrap_or(1.0);
+                    s.end();
+                    address.map(|address| Member { address, site, block, weight })
+                }
+                _ => self.address(item, "backends").map(|address| Member {
+                    address,
+                    site: String::new(),
+                    block: 0,
+                    weight: 1.0,
+                }),
+            };
+            members.extend(member);
+        }
+        members
+    }
+
+    fn class(&self, names: &mut BTreeMap<String, usize>) -> Class {
+        let name = self.name(names);
+        let expected = "\"safe\", \"keyed\" or \"unsafe\"";
+        let effect = self.text("effect");
+        let group = self.text("group");
+        let window = self.number("window_ms", 1.0, MAX_MS);
+        let effect = match (effect.as_deref(), &group, self.get("window_ms")) {
+            (Some("keyed"), _, _) => {
+                let group = match group.as_deref() {
+                    None | Some("all") => Group::All,
+                    Some("site") => Group::Site,
+                    Some("block") => Group::Block,
+                    Some(other) => {
+                        let reason = format!("is {other:?}");
+                        self.lines.fault(
+                            self.at,
+                            self.field("group"),
+                            reason,
+                            "\"all\", \"site\" or \"block\"",
+                        );
+                        Group::All
+                    }
+                };
+                if self.get("window_ms").is_none() {
+                    self.missing("window_ms", "for how long repeats are dropped, in milliseconds");
+                }
+                Effect::Keyed { group, window_ms: window.unwrap_or(1.0) }
+            }
+            (Some(word @ ("safe" | "unsafe")), group, window) => {
+                if group.is_some() || window.is_some() {
+                    let reason = format!("{word:?} with a group or a window");
+                    self.lines.fault(self.at, self.field("effect"), reason, "these for \"keyed\" only");
+                }
+                if word == "safe" { Effect::Safe } else { Effect::Unsafe }
+            }
+            (Some(other), ..) => {
+                self.lines.fault(self.at, self.field("effect"), format!("is {other:?}"), expected);
+                Effect::Unsafe
+            }
+            (None, ..) => {
+                if self.get("effect").is_none() {
+                    self.missing("effect", expected);
+                }
+                Effect::Unsafe
+            }
+        };
+        let (aim_ms, deadline_ms) = (self.must("aim_ms", 1.0, MAX_MS), self.must("deadline_ms", 1.0, MAX_MS));
+        if aim_ms > deadline_ms {
+            let reason = format!("{aim_ms} is past the deadline of {deadline_ms}");
+            self.lines.fault(self.at, self.field("aim_ms"), reason, "an aim within the deadline");
+        }
+        let worth = self.number("worth", 0.0, 1e6).unwrap_or(1.0);
+        self.end();
+        Class { name, effect, aim_ms, deadline_ms, worth }
+    }
+
+    fn when(&self) -> Match {
+        let path = self.text("path");
+        if let Some(p) = path.as_ref().filter(|p| !p.starts_with('/') || p.contains("/*/") || p.contains('?'))
+        {
+            let expected = "a path from its /, or a prefix that ends with /*";
+            self.lines.fault(self.at, self.field("path"), format!("is {p:?}"), expected);
+        }
+        let host = self.text("host").map(|h| h.to_ascii_lowercase());
+        if let Some(h) = host.as_ref().filter(|h| h.trim_start_matches("*.").contains(['*', '/'])) {
+            let expected = "a name, or one that begins with *.";
+            self.lines.fault(self.at, self.field("host"), format!("is {h:?}"), expected);
+        }
+        let header = self.get("header").and_then(|value| match value.get_ref().as_table() {
+            Some(table) => {
+                let s = self.lines.section(table, value.span().start, self.field("header"));
+                let (name, is) = (s.text("name"), s.text("is"));
+                if name.is_none() || is.is_none() {
+                    s.missing("name", "`name` and `is`");
+                }
+                s.end();
+                name.zip(is).map(|(name, is)| (name.to_ascii_lowercase(), is))
+            }
+            None => {
+                self.wrong(
+                    value,
+                    "header",
+                    format!("is {}", kind(value.get_ref())),
+                    "a table with `name` and `is`",
+                );
+                None
+            }
+        });
+        let [listener, method, class, tenant] =
+            ["listener", "method", "class", "tenant"].map(|f| self.text(f));
+        Match { listener, host, path, method, class, tenant, header }
+    }
+
+    fn to(&self, pools: &[String]) -> Vec<Share> {
+        let place = |name: &str| pools.iter().position(|p| p == name);
+        let dangling = |at: usize, field: String, name: &str| {
+            let expected = format!("one of {}", pools.join(", "));
+            self.lines.fault(at, field, format!("no pool {name:?}"), expected);
+        };
+        let (pool, split) = (self.text("pool"), self.sections("split", 64));
+        match (pool, split.is_empty()) {
+            (Some(name), true) => match place(&name) {
+                Some(pool) => vec![Share { pool, weight: 1.0 }],
+                None => {
+                    dangling(self.at, self.field("pool"), &name);
+                    Vec::new()
+                }
+            },
+            (None, false) => {
+                let mut shares: Vec<Share> = Vec::new();
+                for s in &split {
+                    let weight = s.must("weight", 0.0, 1e6);
+                    match s.text("pool").map(|name| (place(&name), name)) {
+                        Some((Some(pool), name)) if shares.iter().any(|s| s.pool == pool) => {
+                            self.lines.fault(
+                                s.at,
+                                s.field("pool"),
+                                format!("{name:?} comes twice"),
+                                "each once",
+                            );
+                        }
+                        Some((Some(pool), _)) => shares.push(Share { pool, weight }),
+                        Some((None, name)) => dangling(s.at, s.field("pool"), &name),
+                        None => s.missing("pool", "a pool's name"),
+                    }
+                    s.end();
+                }
+                if shares.len() == split.len() && shares.iter().all(|s| s.weight == 0.0) {
+                    let expected = "one weight above 0 at the least";
+                    self.lines.fault(
+                        self.at,
+                        self.field("split"),
+                        "all weights are 0, nothing would be sent",
+                        expected,
+                    );
+                }
+                shares
+            }
+            (pool, _) => {
+                let reason =
+                    if pool.is_some() { "both a pool and a split" } else { "neither a pool nor a split" };
+                self.lines.fault(
+                    self.at,
+                    self.field("pool"),
+                    reason,
+                    "`pool`, or `[[route.split]]` with weights",
+                );
+                Vec::new()
+            }
+        }
+    }
+}
+
+fn kind(value: &DeValue<'_>) -> &'static str {
+    match value {
+        DeValue::String(s) if s.is_empty() => "an empty text",
+        DeValue::String(_) => "a text",
+        DeValue::Integer(_) | DeValue::Float(_) => "a number",
+        DeValue::Boolean(_) => "true or false",
+        DeValue::Datetime(_) => "a date",
+        DeValue::Array(_) => "a list",
+        DeValue::Table(_) => "a table",
+    }
+}
--- a/crates/heathroad/src/admin.rs
+++ b/crates/heathroad/src/admin.rs
@@ -1,8 +1,10 @@
-//! The operators' address, off unless it is named: what the daemon counts, as Prometheus text and as JSON.
+//! The operators' address, off unless it is named: what the daemon counts, as Prometheus text and as JSON, and where
+//! there are routes, changing them.
 
-use crate::engine::Engine;
+use crate::router::{Router, words};
 use bytes::Bytes;
-use http_body_util::Full;
+use heathroad_routing::transaction::{Event, Said};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{ALLOW, CONTENT_TYPE, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -25,11 +27,13 @@
 const STARVED: Duration = Duration::from_millis(100);
 /// Longest head.
 const MAX_HEAD: usize = 8 * 1024;
+/// Longest configuration that is taken.
+const MAX_BODY: usize = 4 << 20;
 
 type Reply = Response<Full<Bytes>>;
 
 /// Answers for ever.
-pub async fn serve(listener: TcpListener, engine: Rc<Engine>) {
+pub async fn serve(listener: TcpListener, router: Rc<Router>, descriptors: usize) {
     let places = Arc::new(Semaphore::new(CONNECTIONS));
     loop {
         let Ok(place) = places.clone().acquire_owned().await else { return };
@@ -37,13 +41,11 @@
             sleep(STARVED).await;
             continue;
         };
-        let engine = engine.clone();
+        let router = router.clone();
         spawn_local(async move {
             let _place = place;
-            let service = service_fn(|request| {
-                let reply = answer(&engine, &request);
-                async { Ok::<_, Infallible>(reply) }
-            });
+            let service =
+                service_fn(async |request| Ok::<_, Infallible>(answer(&router, descriptors, request).await));
             let connection =
                 http1::Builder::new().max_buf_size(MAX_HEAD).serve_connection(TokioIo::new(stream), service);
             // However it ends, nothing is owed to anybody.
@@ -52,20 +54,66 @@
     }
 }
 
-fn answer(engine: &Engine, request: &Request<Incoming>) -> Reply {
-    let (kind, text) = match request.uri().path() {
-        "/metrics" if request.method() == Method::GET => {
-            ("application/openmetrics-text; version=1.0.0; charset=utf-8", engine.counts_text())
+async fn answer(router: &Router, descriptors: usize, request: Request<Incoming>) -> Reply {
+    let (head, body) = request.into_parts();
+    let (get, path) = (head.method == Method::GET, head.uri.path());
+    let allowed = match path {
+        "/metrics" | "/counts" | "/config/status" => "GET",
+        "/config/apply" | "/config/undo" => "POST",
+        _ => return plain(StatusCode::NOT_FOUND),
+    };
+    if get != (allowed == "GET") || !get && head.method != Method::POST {
+        let mut reply = plain(StatusCode::METHOD_NOT_ALLOWED);
+        reply.headers_mut().insert(ALLOW, HeaderValue::from_static(allowed));
+        return reply;
+    }
+    match (path, router) {
+        ("/metrics", _) => {
+            let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+            said(StatusCode::OK, kind, router.counts_text(descriptors))
         }
-        "/counts" if request.method() == Method::GET => ("application/json", engine.counts_json()),
-        "/metrics" | "/counts" => {
-            let mut reply = plain(StatusCode::METHOD_NOT_ALLOWED);
-            reply.headers_mut().insert(ALLOW, HeaderValue::from_static("GET"));
-            return reply;
+        ("/counts", _) => said(StatusCode::OK, "application/json", router.counts_json(descriptors)),
+        (_, Router::One(_)) => said(
+            StatusCode::NOT_FOUND,
+            TEXT,
+            "no routes: the daemon serves the one pool of its settings".into(),
+        ),
+        ("/config/status", Router::Many(many)) => {
+            said(StatusCode::OK, "application/json", many.status().to_string())
         }
-        _ => return plain(StatusCode::NOT_FOUND),
+        ("/config/undo", Router::Many(many)) => told(&many.handle(Event::Undo("asked for".into()))),
+        (_, Router::Many(many)) => {
+            let body = Limited::new(body, MAX_BODY).collect().await.map(|b| b.to_bytes());
+            let Ok(text) = body.map_err(|_| ()).and_then(|b| String::from_utf8(b.to_vec()).map_err(|_| ()))
+            else {
+                let why = format!("a configuration is UTF-8 text of {MAX_BODY} bytes at most");
+                return said(StatusCode::PAYLOAD_TOO_LARGE, TEXT, why);
+            };
+            match many.propose("apply", &text) {
+                Ok(list) => told(&list),
+                Err(wrong) => said(StatusCode::UNPROCESSABLE_ENTITY, TEXT, wrong),
+            }
+        }
+    }
+}
+
+const TEXT: &str = "text/plain; charset=utf-8";
+
+/// What was said of a change: 409 where it was turned down.
+fn told(list: &[Said]) -> Reply {
+    let down = |s: &Said| {
+        matches!(
+            s,
+            Said::Busy(_) | Said::Crowded(_) | Said::Stopping | Said::NothingToUndo | Said::GivenUp(..)
+        )
     };
+    let status = if list.iter().any(down) { StatusCode::CONFLICT } else { StatusCode::OK };
+    said(status, TEXT, list.iter().map(words).collect::<Vec<_>>().join("\n"))
+}
+
+fn said(status: StatusCode, kind: &'static str, text: String) -> Reply {
     let mut reply = Response::new(Full::from(text));
+    *reply.status_mut() = status;
     reply.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(kind));
     reply
 }
--- a/crates/heathroad/src/backend.rs
+++ b/crates/heathroad/src/backend.rs
@@ -9,12 +9,12 @@
 use hyper::{Method, Request, Response, StatusCode, Uri, header};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -107,6 +107,8 @@
 pub struct Pool {
     limits: Limits,
     targets: Cell<u64>,
+    /// Those in use, by name, address and start: pools that name one process share it and its connections.
+    known: RefCell<HashMap<(String, SocketAddr, u64), Weak<Target>>>,
     /// By the target's number.
     idle: RefCell<HashMap<u64, Vec<Idle>>>,
     places: Arc<Semaphore>,
@@ -153,16 +155,38 @@
     /// An empty pool.
     pub fn new(limits: Limits) -> Self {
         let places = Arc::new(Semaphore::new(limits.connections));
-        let (targets, idle, draining) = (Cell::default(), RefCell::default(), Rc::default());
+        let (targets, known) = (Cell::default(), RefCell::default());
+        let (idle, draining, give_way) = (RefCell::default(), Rc::default(), Notify::new());
         let draining_most = limits.connections / DRAIN_SHARE;
-        Pool { limits, targets, idle, places, draining, draining_most, give_way: Notify::new() }
+        Pool { limits, targets, known, idle, places, draining, draining_most, give_way }
     }
 
-    /// A process to send to.
-    pub fn target(&self, dial: SocketAddr, born_ms: f64) -> Target {
+    /// A process to send to. One that is in use and takes work is the same for all who name it.
+    pub fn target(&self, name: &str, dial: SocketAddr, born_ms: f64) -> Rc<Target> {
+        let mut known = self.known.borrow_mut();
+        let key = (name.to_string(), dial, born_ms.to_bits());
+        if let Some(target) = known.get(&key).and_then(Weak::upgrade).filter(|t| t.drained.get().is_none()) {
+            return target;
+        }
         let number = self.targets.get();
         self.targets.set(number + 1);
-        Target { number, dial, born_ms, drained: Cell::new(None) }
+        let target = Rc::new(Target { number, dial, born_ms, drained: Cell::new(None) });
+        known.insert(key, Rc::downgrade(&target));
+        target
+    }
+
+    /// Opens a connection to a process and keeps it, if there is none at rest; whether there is one now.
+    pub async fn warm(&self, target: &Rc<Target>) -> bool {
+        if self.idle.borrow().get(&target.number).is_some_and(|links| !links.is_empty()) {
+            return true;
+        }
+        match self.connect(target.dial).await {
+            Ok(link) => {
+                self.keep(target, link);
+                true
+            }
+            Err(_) => false,
+        }
     }
 
     /// Closes what is idle to a process.
@@ -178,6 +202,11 @@
             links.retain(|i| !i.link.sender.is_closed() && i.since.elapsed() < age);
             !links.is_empty()
         });
+        // What nobody names any more needs no connections.
+        let mut known = self.known.borrow_mut();
+        known.retain(|_, target| target.strong_count() > 0);
+        let used: HashSet<u64> = known.values().filter_map(Weak::upgrade).map(|t| t.number).collect();
+        self.idle.borrow_mut().retain(|number, _| used.contains(number));
     }
 
     /// The most recently used of those still open: the others may then grow old and be closed.
@@ -444,7 +473,7 @@
         let tasks = LocalSet::new();
         tasks
             .run_until(async {
-                let target = Rc::new(pool.target(dial, 0.0));
+                let target = pool.target("a", dial, 0.0);
                 let id = HeaderValue::from_static("1");
                 let uri = Uri::from_static("/look");
                 let call = Call { method: Method::GET, uri, host: None, id, key: None, body: Bytes::new() };
--- a/crates/heathroad/src/cli.rs
+++ b/crates/heathroad/src/cli.rs
@@ -15,12 +15,44 @@
     pub command: Option<Command>,
 }
 
+/// Where a running daemon is asked.
+#[derive(clap::Args)]
+pub struct At {
+    /// Its admin address; else RELAY_ADMIN names it.
+    #[arg(long)]
+    pub admin: Option<std::net::SocketAddr>,
+}
+
 /// What the program does beside running.
 #[derive(Subcommand)]
 pub enum Command {
-    /// Read a configuration as a start would, say what it holds or what is wrong, and end.
+    /// Read a configuration as a start would, say what it holds or everything that is wrong, and end.
     Check {
-        /// The JSON file.
+        /// The daemon's JSON file, or a TOML file of routes and pools.
+        file: PathBuf,
+    },
+    /// Propose a file of routes and pools to a running daemon, which checks, stages, applies and watches it.
+    Apply {
+        /// The TOML file.
         file: PathBuf,
+        #[command(flatten)]
+        at: At,
+    },
+    /// Say which configuration a running daemon has in force, and what became of the last changes.
+    Status {
+        #[command(flatten)]
+        at: At,
+    },
+    /// Undo the change that is under way, or the last one that was committed.
+    Undo {
+        #[command(flatten)]
+        at: At,
+    },
+    /// Say in words which requests move where between two files of routes and pools.
+    Diff {
+        /// The file in force.
+        from: PathBuf,
+        /// The file to come.
+        to: PathBuf,
     },
 }
--- a/crates/heathroad/src/config.rs
+++ b/crates/heathroad/src/config.rs
@@ -4,7 +4,8 @@
 use serde::Deserialize;
 use std::env;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
 use turnshift::settings::{self, Facts};
 
 /// All that a start needs.
@@ -15,6 +16,12 @@
     pub discovery: SocketAddr,
     /// Where operators ask for the counts, if anywhere.
     pub admin: Option<SocketAddr>,
+    /// The file of routes and pools, if there is one; else the settings' one pool serves.
+    pub routes: Option<PathBuf>,
+    /// The folder in which the committed configuration is kept, if there is one.
+    pub state: Option<PathBuf>,
+    /// How long a change of routes is watched before it is committed.
+    pub probation: Duration,
     /// Seed of the module's random numbers.
     pub seed: u64,
     /// How many descriptors the process may hold.
@@ -32,6 +39,10 @@
     listen: Option<String>,
     discovery: Option<String>,
     admin: Option<String>,
+    routes: Option<PathBuf>,
+    state: Option<PathBuf>,
+    #[serde(default = "usual_probation")]
+    probation_ms: u64,
     seed: String,
     limits: Limits,
     known: Option<Page>,
@@ -44,6 +55,12 @@
     memory_mb: usize,
 }
 
+fn usual_probation() -> u64 {
+    30_000
+}
+
+/// A change is watched no longer than this, an hour.
+const MAX_PROBATION_MS: u64 = 3_600_000;
 /// Fewer descriptors than this leave no room for work.
 const MIN_SOCKETS: usize = 64;
 /// Less memory than this holds no work.
@@ -69,12 +86,12 @@
     parse(&named_file()?, Named::by_environment())
 }
 
-/// Reads the file again for what may change while the program runs: where discovery is. Here the file goes before
-/// the environment, which still names the old address.
-pub fn reload() -> Result<SocketAddr, String> {
+/// Reads the file again for what may change while the program runs: where discovery is, and the routes. Here the file
+/// goes before the environment, which still names the old address.
+pub fn reload() -> Result<Config, String> {
     // It is checked as a whole: a file that no start would take is no reason to move.
     let named = Named { discovery: None, ..Named::by_environment() };
-    parse(&named_file()?, named).map(|config| config.discovery)
+    parse(&named_file()?, named)
 }
 
 /// Reads any file as a start would.
@@ -98,6 +115,8 @@
     let wrong = [
         (file.limits.sockets < MIN_SOCKETS, "limits.sockets: too few to work with"),
         (file.limits.memory_mb < MIN_MEMORY_MB, "limits.memory_mb: too little to work with"),
+        (file.probation_ms > MAX_PROBATION_MS, "probation_ms: is more than an hour"),
+        (file.state.is_some() && file.routes.is_none(), "state: is of use with `routes` only"),
         (site.classes.iter().any(String::is_empty), "settings: classes: one has no name"),
         (site.tenants.iter().any(String::is_empty), "settings: tenants: one has no name"),
         (site.zones.is_empty(), "settings: localities: is missing or empty"),
@@ -116,6 +135,9 @@
             Some(text) => Some(address("admin", Some(text))?),
             None => None,
         },
+        routes: file.routes,
+        state: file.state,
+        probation: Duration::from_millis(file.probation_ms),
         seed: u64::from_str_radix(&file.seed, 16).map_err(|e| format!("config: seed: {e}"))?,
         sockets: file.limits.sockets,
         memory: file.limits.memory_mb.saturating_mul(1 << 20),
--- a/crates/heathroad/src/counts.rs
+++ b/crates/heathroad/src/counts.rs
@@ -7,8 +7,9 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 use serde::Serialize;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::sync::atomic::AtomicU64;
 use turnshift::api::Outcome;
 use turnshift::settings::Site;
@@ -66,6 +67,7 @@
 
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct OfRequest {
+    pool: String,
     class: String,
     tenant: String,
     answer: &'static str,
@@ -73,16 +75,19 @@
 
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct ByOutcome {
+    pool: String,
     outcome: &'static str,
 }
 
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct After {
+    pool: String,
     after: &'static str,
 }
 
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct ByNotice {
+    pool: String,
     notice: &'static str,
 }
 
@@ -93,48 +98,68 @@
 
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct OfSlice {
+    pool: String,
     slice: u32,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct OfPool {
+    pool: String,
+}
+
 type Figure = Gauge<f64, AtomicU64>;
 
-/// All counters of one daemon's life. They start at 0 and never go back.
-pub struct Counts {
+/// The metrics of a daemon, over all its pools. The one pool of a daemon without routes has no name.
+pub struct Meter {
     registry: Registry,
+    requests: Family<OfRequest, Counter>,
+    attempts: Family<ByOutcome, Counter>,
+    late: Family<ByOutcome, Counter>,
+    resends: Family<After, Counter>,
+    drains: Family<ByNotice, Counter>,
+    cold: Family<OfPool, Counter>,
+    unusable: Family<ByStatus, Counter>,
+    /// The statuses seen in `unusable`, which can't be listed back.
+    statuses: RefCell<BTreeMap<u16, Counter>>,
+    limit: Family<OfPool, Figure>,
+    in_flight: Family<OfPool, Gauge>,
+    slices: [Family<OfSlice, Figure>; 3],
+    open: Family<OfPool, Gauge>,
+    descriptors: Gauge,
+    descriptors_most: Gauge,
+}
+
+/// The counters of one pool. They start at 0 and never go back.
+pub struct Counts {
+    meter: Rc<Meter>,
+    pool: String,
     classes: Vec<String>,
     tenants: Vec<String>,
-    requests: Family<OfRequest, Counter>,
-    /// The same counters by class, tenant and answer, once they were needed.
+    /// The counters of requests by class, tenant and answer, once they were needed.
     resolved: RefCell<Vec<Option<Counter>>>,
     attempts: [Counter; OUTCOMES.len()],
     late: [Counter; OUTCOMES.len()],
     resends: [Counter; OUTCOMES.len()],
     drains: [Counter; NOTICES.len()],
     cold: Counter,
-    unusable: Family<ByStatus, Counter>,
-    /// The statuses seen in `unusable`, which can't be listed back.
-    statuses: RefCell<BTreeMap<u16, Counter>>,
-    limit: Figure,
-    in_flight: Gauge,
-    slices: [Family<OfSlice, Figure>; 3],
-    open: Gauge,
-    descriptors: Gauge,
-    descriptors_most: Gauge,
+    /// Final answers by kind, and served ones that came after their aim.
+    finals: [Cell<u64>; FINALS.len()],
+    after_aim: Cell<u64>,
 }
 
-/// What is so at the moment, beside the counters.
-pub struct Moment {
+/// What a pool's limit stands at.
+pub struct Moment<'a> {
+    /// Its counters.
+    pub counts: &'a Counts,
     /// The learned limit and its slices.
     pub load: Load,
     /// Requests that are owed an answer.
     pub open: usize,
-    /// Descriptors that the process holds, and the most that it may.
-    pub descriptors: [usize; 2],
 }
 
-impl Counts {
-    /// Counters for the names of a site.
-    pub fn new(site: &Site) -> Self {
+impl Meter {
+    /// Metrics that nothing was counted in.
+    pub fn new() -> Self {
         let mut registry = Registry::with_prefix("heathroad");
         let r = &mut registry;
         let requests = Family::<OfRequest, Counter>::default();
@@ -151,13 +176,13 @@
         );
         let drains = Family::<ByNotice, Counter>::default();
         r.register("drains", "Backends' processes that nothing new goes to, by the notice", drains.clone());
-        let cold = Counter::default();
+        let cold = Family::<OfPool, Counter>::default();
         r.register("cold_sends", "Attempts sent to a backend that was not surely warm", cold.clone());
         let unusable = Family::<ByStatus, Counter>::default();
         r.register("unusable", "Requests that could not be used, by the status answered", unusable.clone());
-        let limit = Figure::default();
+        let limit = Family::<OfPool, Figure>::default();
         r.register("limit", "The learned concurrency limit", limit.clone());
-        let in_flight = Gauge::default();
+        let in_flight = Family::<OfPool, Gauge>::default();
         r.register("in_flight", "Calls counted against the limit", in_flight.clone());
         let slices = [
             ("slice_limit", "A slice's own limit"),
@@ -169,27 +194,22 @@
             r.register(name, help, family.clone());
             family
         });
-        let open = Gauge::default();
+        let open = Family::<OfPool, Gauge>::default();
         r.register("requests_open", "Requests that are owed an answer", open.clone());
         let descriptors = Gauge::default();
         r.register("descriptors", "Descriptors that the process holds", descriptors.clone());
         let descriptors_most = Gauge::default();
         r.register("descriptors_max", "Descriptors that the process may hold", descriptors_most.clone());
-        let by = |outcome| ByOutcome { outcome };
-        let [classes, tenants] = [&site.classes, &site.tenants].map(Clone::clone);
-        Counts {
-            resolved: RefCell::new(vec![None; classes.len() * tenants.len().max(1) * FINALS.len()]),
-            attempts: OUTCOMES.map(|o| attempts.get_or_create(&by(o)).clone()),
-            late: OUTCOMES.map(|o| late.get_or_create(&by(o)).clone()),
-            resends: OUTCOMES.map(|after| resends.get_or_create(&After { after }).clone()),
-            drains: NOTICES.map(|notice| drains.get_or_create(&ByNotice { notice }).clone()),
-            statuses: RefCell::default(),
+        Meter {
             registry,
-            classes,
-            tenants,
             requests,
+            attempts,
+            late,
+            resends,
+            drains,
             cold,
             unusable,
+            statuses: RefCell::default(),
             limit,
             in_flight,
             slices,
@@ -199,6 +219,93 @@
         }
     }
 
+    /// What came could not be used and was answered with a status.
+    pub fn unusable(&self, status: u16) {
+        let mut statuses = self.statuses.borrow_mut();
+        let new = || self.unusable.get_or_create(&ByStatus { status }).clone();
+        statuses.entry(status).or_insert_with(new).inc();
+    }
+
+    /// Everything as Prometheus text; `descriptors` are those held, and the most.
+    pub fn text(&self, pools: &[Moment<'_>], descriptors: [usize; 2]) -> String {
+        let gauge = |n: usize| i64::try_from(n).unwrap_or(i64::MAX);
+        for m in pools {
+            let pool = &m.counts.pool;
+            let of = OfPool { pool: pool.clone() };
+            self.limit.get_or_create(&of).set(m.load.limit);
+            self.in_flight.get_or_create(&of).set(m.load.in_flight as i64);
+            self.open.get_or_create(&of).set(gauge(m.open));
+            for (i, s) in m.load.slices.iter().enumerate() {
+                let slice = OfSlice { pool: pool.clone(), slice: i as u32 };
+                for (family, figure) in self.slices.iter().zip([s.limit, s.busy, s.held as f64]) {
+                    family.get_or_create(&slice).set(figure);
+                }
+            }
+        }
+        self.descriptors.set(gauge(descriptors[0]));
+        self.descriptors_most.set(gauge(descriptors[1]));
+        let mut text = String::new();
+        // Writing to a string fails only where a metric's own encoding does, and these are the crate's.
+        let _ = text::encode(&mut text, &self.registry);
+        text
+    }
+
+    /// The same as one JSON object on one line. Figures of the limit are sums over pools.
+    pub fn json(&self, pools: &[Moment<'_>], descriptors: [usize; 2]) -> String {
+        let sums =
+            |names: &[&'static str], of: &dyn Fn(&Counts) -> &[Counter]| -> BTreeMap<&'static str, u64> {
+                let sum = |i: usize| pools.iter().filter_map(|m| of(m.counts).get(i)).map(Counter::get).sum();
+                names.iter().enumerate().map(|(i, name)| (*name, sum(i))).collect()
+            };
+        let whole = Whole {
+            requests: pools.iter().flat_map(|m| m.counts.rows()).collect(),
+            attempts: sums(&OUTCOMES, &|c| &c.attempts),
+            late_ends: sums(&OUTCOMES, &|c| &c.late),
+            resends: sums(&OUTCOMES, &|c| &c.resends),
+            drains: sums(&NOTICES, &|c| &c.drains),
+            cold_sends: pools.iter().map(|m| m.counts.cold.get()).sum(),
+            unusable: self.statuses.borrow().iter().map(|(s, c)| (s.to_string(), c.get())).collect(),
+            limit: pools.iter().map(|m| m.load.limit).sum(),
+            in_flight: pools.iter().map(|m| m.load.in_flight).sum(),
+            slices: pools.iter().flat_map(|m| &m.load.slices).collect(),
+            requests_open: pools.iter().map(|m| m.open).sum(),
+            descriptors: descriptors[0],
+            descriptors_max: descriptors[1],
+        };
+        // Nothing in it can fail to be written as JSON: keys are text, figures finite.
+        serde_json::to_string(&whole).unwrap_or_default()
+    }
+}
+
+impl Counts {
+    /// Counters of a pool for the names of its site.
+    pub fn new(meter: &Rc<Meter>, pool: &str, site: &Site) -> Self {
+        let name = || pool.to_string();
+        let by = |outcome| ByOutcome { pool: name(), outcome };
+        let [classes, tenants] = [&site.classes, &site.tenants].map(Clone::clone);
+        Counts {
+            resolved: RefCell::new(vec![None; classes.len() * tenants.len().max(1) * FINALS.len()]),
+            attempts: OUTCOMES.map(|o| meter.attempts.get_or_create(&by(o)).clone()),
+            late: OUTCOMES.map(|o| meter.late.get_or_create(&by(o)).clone()),
+            resends: OUTCOMES
+                .map(|after| meter.resends.get_or_create(&After { pool: name(), after }).clone()),
+            drains: NOTICES
+                .map(|notice| meter.drains.get_or_create(&ByNotice { pool: name(), notice }).clone()),
+            cold: meter.cold.get_or_create(&OfPool { pool: name() }).clone(),
+            finals: Default::default(),
+            after_aim: Cell::new(0),
+            meter: meter.clone(),
+            pool: name(),
+            classes,
+            tenants,
+        }
+    }
+
+    /// What is counted over all pools.
+    pub fn meter(&self) -> &Rc<Meter> {
+        &self.meter
+    }
+
     /// A request of a class and tenant, by their places in the settings, has had its final answer.
     pub fn answered(&self, class: u16, tenant: u16, answer: Final) {
         let (class, tenant, answer) = (usize::from(class), usize::from(tenant), answer as usize);
@@ -208,9 +315,24 @@
         let counter = counter.get_or_insert_with(|| {
             let name = |names: &[String], at| names.get(at).cloned().unwrap_or_default();
             let (class, tenant) = (name(&self.classes, class), name(&self.tenants, tenant));
-            self.requests.get_or_create(&OfRequest { class, tenant, answer: FINALS[answer] }).clone()
+            let row = OfRequest { pool: self.pool.clone(), class, tenant, answer: FINALS[answer] };
+            self.meter.requests.get_or_create(&row).clone()
         });
         counter.inc();
+        let kind = &self.finals[answer];
+        kind.set(kind.get() + 1);
+    }
+
+    /// A served request's answer came after its aim.
+    pub fn after_aim(&self) {
+        self.after_aim.set(self.after_aim.get() + 1);
+    }
+
+    /// Requests served, refused, failed and out of time until now, and of those served, late ones.
+    pub fn so_far(&self) -> [u64; 5] {
+        let of = |kind: Final| self.finals[kind as usize].get();
+        let [served, refused] = [Final::Served, Final::Refused].map(of);
+        [served, refused, of(Final::Failed), of(Final::TimedOut), self.after_aim.get()]
     }
 
     /// An attempt ended; `rejected` where the backend turned it down as unusable.
@@ -240,67 +362,20 @@
         self.cold.inc();
     }
 
-    /// What came could not be used and was answered with a status.
-    pub fn unusable(&self, status: u16) {
-        let mut statuses = self.statuses.borrow_mut();
-        let new = || self.unusable.get_or_create(&ByStatus { status }).clone();
-        statuses.entry(status).or_insert_with(new).inc();
-    }
-
-    /// Everything as Prometheus text.
-    pub fn text(&self, now: &Moment) -> String {
-        let gauge = |n: usize| i64::try_from(n).unwrap_or(i64::MAX);
-        self.limit.set(now.load.limit);
-        self.in_flight.set(now.load.in_flight as i64);
-        for (i, s) in now.load.slices.iter().enumerate() {
-            let slice = OfSlice { slice: i as u32 };
-            for (family, figure) in self.slices.iter().zip([s.limit, s.busy, s.held as f64]) {
-                family.get_or_create(&slice).set(figure);
-            }
-        }
-        self.open.set(gauge(now.open));
-        self.descriptors.set(gauge(now.descriptors[0]));
-        self.descriptors_most.set(gauge(now.descriptors[1]));
-        let mut text = String::new();
-        // Writing to a string fails only where a metric's own encoding does, and these are the crate's.
-        let _ = text::encode(&mut text, &self.registry);
-        text
-    }
-
-    /// The same as one JSON object on one line.
-    pub fn json(&self, now: &Moment) -> String {
-        let mut requests = Vec::new();
+    fn rows(&self) -> Vec<Row<'_>> {
         let tenants = self.tenants.len().max(1);
-        for (at, counter) in self.resolved.borrow().iter().enumerate() {
-            let Some(counter) = counter else { continue };
+        let resolved = self.resolved.borrow();
+        let counted = resolved.iter().enumerate().filter_map(|(at, counter)| Some((at, counter.as_ref()?)));
+        let row = |(at, counter): (usize, &Counter)| {
             let pair = at / FINALS.len();
-            requests.push(Row {
+            Row {
                 class: self.classes.get(pair / tenants).map_or("", String::as_str),
                 tenant: self.tenants.get(pair % tenants).map_or("", String::as_str),
                 answer: FINALS[at % FINALS.len()],
                 count: counter.get(),
-            });
-        }
-        fn named<'a>(names: &[&'a str], counters: &[Counter]) -> BTreeMap<&'a str, u64> {
-            names.iter().copied().zip(counters.iter().map(Counter::get)).collect()
-        }
-        let whole = Whole {
-            requests,
-            attempts: named(&OUTCOMES, &self.attempts),
-            late_ends: named(&OUTCOMES, &self.late),
-            resends: named(&OUTCOMES, &self.resends),
-            drains: named(&NOTICES, &self.drains),
-            cold_sends: self.cold.get(),
-            unusable: self.statuses.borrow().iter().map(|(s, c)| (s.to_string(), c.get())).collect(),
-            limit: now.load.limit,
-            in_flight: now.load.in_flight,
-            slices: &now.load.slices,
-            requests_open: now.open,
-            descriptors: now.descriptors[0],
-            descriptors_max: now.descriptors[1],
+            }
         };
-        // Nothing in it can fail to be written as JSON: keys are text, figures finite.
-        serde_json::to_string(&whole).unwrap_or_default()
+        counted.map(row).collect()
     }
 }
 
@@ -323,7 +398,7 @@
     unusable: BTreeMap<String, u64>,
     limit: f64,
     in_flight: f64,
-    slices: &'a [SliceLoad],
+    slices: Vec<&'a SliceLoad>,
     requests_open: usize,
     descriptors: usize,
     descriptors_max: usize,
@@ -341,7 +416,11 @@
     fn what_counting_costs() {
         const REQUESTS: u32 = 10_000_000;
         let name = |n: usize| (0..n).map(|i| i.to_string()).collect();
-        let counts = Counts::new(&Site { classes: name(4), tenants: name(5), ..Site::default() });
+        let counts = Counts::new(
+            &Rc::new(Meter::new()),
+            "",
+            &Site { classes: name(4), tenants: name(5), ..Site::default() },
+        );
         let begun = Instant::now();
         for i in 0..REQUESTS {
             counts.ended(black_box(Outcome::Ok), false);
--- a/crates/heathroad/src/front.rs
+++ b/crates/heathroad/src/front.rs
@@ -2,7 +2,8 @@
 
 use crate::backend::{Call, MAX_BODY};
 use crate::counts::Final;
-use crate::engine::{Answer, Engine, Incoming, millis};
+use crate::engine::{Answer, Incoming, millis};
+use crate::router::{Ask, Bound, Router};
 use crate::stream::{Progress, Watched};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
@@ -190,8 +191,8 @@
 
 /// What is needed to read requests.
 pub struct Front {
-    /// Decides them.
-    pub engine: Rc<Engine>,
+    /// Says where they go.
+    pub router: Rc<Router>,
     /// The settings.
     pub facts: Facts,
     /// Most connections at once.
@@ -290,23 +291,23 @@
         let received = seat.progress.heard().unwrap_or_else(Instant::now);
         seat.progress.listen();
         if request.uri().path() == "/health/ready" {
-            let ready = self.engine.ready();
+            let ready = self.router.ready();
             return Ok(plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }));
         }
         seat.stage.set(Stage::Body);
         let mut reply = match self.read(request, seat, received).await {
             Err(reply) => {
-                self.engine.counts().unusable(reply.status().as_u16());
+                self.router.meter().unusable(reply.status().as_u16());
                 *reply
             }
-            Ok((incoming, _)) if self.overrun(seat, crowded) => {
-                self.engine.counts().answered(incoming.class, incoming.tenant, Final::Refused);
+            Ok((incoming, _, bound)) if self.overrun(seat, crowded) => {
+                bound.engine.counts().answered(incoming.class, incoming.tenant, Final::Refused);
                 write(Answer::Refused { retry_after: self.away() })
             }
-            Ok((incoming, _held)) => {
+            Ok((incoming, _held, bound)) => {
                 seat.stage.set(Stage::Taken);
                 let _taken = Taken::new(&self.room);
-                let answer = self.engine.decide(incoming).await;
+                let answer = bound.engine.decide(incoming).await;
                 seat.served.set(seat.served.get() || matches!(answer, Answer::Served(_)));
                 write(answer)
             }
@@ -336,7 +337,7 @@
         request: Request<Inflow>,
         seat: &Seat,
         received: Instant,
-    ) -> Result<(Incoming, Held), Box<Reply>> {
+    ) -> Result<(Incoming, Held, Bound), Box<Reply>> {
         let (head, body) = request.into_parts();
         let wrong = |status| Box::new(closing(status));
         // The library takes a length beside a transfer coding away before it can be seen here, and what hides in
@@ -345,8 +346,9 @@
             return Err(wrong(StatusCode::LENGTH_REQUIRED));
         }
         let name = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
-        let class = self.facts.site.classes.iter().position(|c| c == name);
-        let class = class.ok_or_else(|| Box::new(plain(StatusCode::NOT_FOUND)))?;
+        if !self.router.serves(name) {
+            return Err(Box::new(plain(StatusCode::NOT_FOUND)));
+        }
         let bad = || wrong(StatusCode::BAD_REQUEST);
         let id = one(&head.headers, "req-id").ok_or_else(bad)?.clone();
         let tenants = &self.facts.site.tenants;
@@ -355,12 +357,24 @@
             _ if tenants.is_empty() => 0,
             owner => tenants.iter().position(|t| Some(t.as_str()) == owner).ok_or_else(bad)?,
         };
+        let about = head.uri.query().and_then(|q| q.split('&').find_map(|p| p.strip_prefix("k=")));
+        let about = about.filter(|k| !k.is_empty()).map(str::to_string);
+        let ask = Ask {
+            host: head.headers.get(HOST).and_then(|h| h.to_str().ok()).unwrap_or_default(),
+            path: head.uri.path(),
+            class: name,
+            tenant: owner.unwrap_or_default(),
+            headers: &head.headers,
+            key: about.as_deref().map_or(id.as_bytes(), str::as_bytes),
+        };
+        let bound = self.router.bind(&ask).map_err(|status| Box::new(plain(status)))?;
         let patience =
             one(&head.headers, "req-deadline-ms").and_then(|d| d.to_str().ok()).filter(|d| digits(d));
         let patience = patience.and_then(|d| d.parse::<u64>().ok());
         let patience = Duration::from_millis(patience.ok_or_else(bad)?.min(MAX_PATIENCE_MS));
+        let patience = bound.deadline.map_or(patience, |most| patience.min(most));
         let key = one(&head.headers, "idempotency-key").cloned();
-        let (method, keyed) = match self.facts.settings.classes[class].effect {
+        let (method, keyed) = match bound.effect {
             Effect::Retryable => (Method::GET, None),
             Effect::Dedup { .. } => (Method::POST, Some(true)),
             Effect::Fragile => (Method::POST, Some(false)),
@@ -374,8 +388,6 @@
         if keyed.is_some_and(|k| k != key.is_some()) || keyed.is_none() && !body.is_end_stream() {
             return Err(bad());
         }
-        let about = head.uri.query().and_then(|q| q.split('&').find_map(|p| p.strip_prefix("k=")));
-        let about = about.filter(|k| !k.is_empty()).map(str::to_string);
         // Of two requests with one id only the first can be told from its repeat.
         let held = Held::new(&self.room, &id).ok_or_else(|| Box::new(plain(StatusCode::CONFLICT)));
         let mut held = held?;
@@ -393,8 +405,8 @@
         let host = head.headers.get(HOST).cloned();
         let uri = head.uri.path_and_query().cloned().map(Uri::from).ok_or_else(bad)?;
         let call = Call { method, uri, host, id, key, body };
-        let (class, tenant) = (class as u16, tenant as u16);
-        Ok((Incoming { call, class, tenant, key: about, received, patience }, held))
+        let (class, tenant) = (bound.class, tenant as u16);
+        Ok((Incoming { call, class, tenant, key: about, received, patience }, held, bound))
     }
 }
 
--- a/crates/heathroad/src/roster.rs
+++ b/crates/heathroad/src/roster.rs
@@ -15,7 +15,7 @@
 }
 
 /// An entry of a list.
-#[derive(Deserialize)]
+#[derive(Deserialize, Clone)]
 pub struct Host {
     /// The backend's name.
     pub host: String,
@@ -24,6 +24,9 @@
     /// Its zone.
     #[serde(default)]
     pub site: String,
+    /// Its kind.
+    #[serde(default)]
+    pub class: String,
     /// Its cell.
     #[serde(default)]
     pub block: u16,
--- /dev/null
+++ b/crates/heathroad/src/routes.rs
@@ -0,0 +1,94 @@
+//! Files of routes and pools: read and checked, for the command line, a start and a reload.
+
+use crate::backend::Pool;
+use crate::config::Config;
+use crate::disk::Folder;
+use crate::router::{Base, Many};
+use heathroad_routing::generation::Generation;
+use heathroad_routing::journal::{Journal, OpenError, Record};
+use heathroad_routing::transaction::Terms;
+use std::path::Path;
+use std::rc::Rc;
+
+/// Reads and checks a file; an error has a line for everything that is wrong.
+pub fn read(path: &Path) -> Result<Rc<Generation>, String> {
+    numbered(path, 0)
+}
+
+fn numbered(path: &Path, number: u64) -> Result<Rc<Generation>, String> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
+    Generation::read(number, &name, &text).map_err(|e| e.to_string())
+}
+
+/// Begins with the last committed generation, where one is kept; else with the file.
+pub fn start(file: &Path, config: &Config, connections: &Rc<Pool>) -> Result<Rc<Many>, String> {
+    let (mut journal, mut highest, mut first) = (None, 1, None);
+    if let Some(folder) = &config.state {
+        let place = folder.display();
+        match Journal::open(Folder::new(folder)) {
+            Ok((opened, found)) => {
+                if let Some(note) = found.note {
+                    eprintln!("heathroad: state: {place}: {note}; they are cut off");
+                }
+                if let Some((number, applied)) = found.open {
+                    let was = if applied { "on probation" } else { "staged" };
+                    eprintln!("heathroad: state: {place}: generation {number} was {was} and is not started");
+                }
+                if let Some((number, text)) = found.committed {
+                    let kept = Generation::read(number, &format!("{place}"), &text);
+                    let kept = kept.map_err(|e| format!("state: generation {number}: {e}"))?;
+                    eprintln!(
+                        "heathroad: state: {place}: starting on generation {number}, digest {}",
+                        kept.digest
+                    );
+                    first = Some(kept);
+                }
+                (journal, highest) = (Some(opened), found.highest.max(1));
+            }
+            Err(OpenError::Log(e)) => {
+                eprintln!(
+                    "heathroad: state: {place}: {e}; it is left as it is, and changes will not be kept"
+                );
+            }
+            Err(OpenError::Disk(e)) => return Err(format!("state: {place}: {e}")),
+        }
+    }
+    let first = match first {
+        Some(kept) => {
+            if std::fs::read_to_string(file).is_ok_and(|text| text != kept.text) {
+                eprintln!(
+                    "heathroad: routes: {} differs from what is committed; apply it to change that",
+                    file.display()
+                );
+            }
+            kept
+        }
+        None => {
+            let read = numbered(file, highest)?;
+            if let Some(journal) = &mut journal {
+                let record = Record::Committed { number: read.number, text: read.text.clone() };
+                journal.write(record).map_err(|e| format!("state: {e}"))?;
+            }
+            read
+        }
+    };
+    let probation = u64::try_from(config.probation.as_millis()).unwrap_or(u64::MAX);
+    let base = Base {
+        facts: config.facts.clone(),
+        seed: config.seed,
+        connections: connections.clone(),
+        registry: config.discovery,
+        terms: Terms { probation, ..Terms::default() },
+    };
+    Many::new(base, first, highest, journal)
+}
+
+/// Proposes a file that may have changed; what is wrong with it is logged, and changes nothing.
+pub fn reload(file: &Path, many: &Rc<Many>) {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: {e}"));
+    if let Err(e) = text.and_then(|text| many.propose(&name, &text)) {
+        eprintln!("heathroad: configuration kept: {e}");
+    }
+}
--- /dev/null
+++ b/crates/heathroad/tests/routes.rs
@@ -0,0 +1,401 @@
+//! The started program with routes and pools: where requests go, and changing that under load, by hand, by harm, and
+//! across a kill.
+
+mod rig;
+
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use rig::*;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
+use std::time::Duration;
+use tokio::sync::Notify;
+
+/// A pool of listed backends that serves the classes of the rig.
+fn pool(name: &str, backends: &[SocketAddr]) -> String {
+    let list: Vec<String> = backends.iter().map(|a| format!("\"{a}\"")).collect();
+    let class = |name: &str, effect: &str| {
+        format!("[[pool.class]]\nname = \"{name}\"\n{effect}\naim_ms = 20000\ndeadline_ms = 60000\n")
+    };
+    format!(
+        "[[pool]]\nname = \"{name}\"\nbackends = [{}]\n{}{}{}",
+        list.join(", "),
+        class("look", "effect = \"safe\""),
+        class("keep", "effect = \"keyed\"\ngroup = \"all\"\nwindow_ms = 60000"),
+        class("once", "effect = \"unsafe\""),
+    )
+}
+
+fn route(name: &str, when: &str, to: &str) -> String {
+    format!("[[route]]\nname = \"{name}\"\n{when}\npool = \"{to}\"\n")
+}
+
+struct Scene {
+    proxy: Proxy,
+    admin: SocketAddr,
+    config: Value,
+    file: PathBuf,
+    _discovery: Discovery,
+}
+
+fn name() -> PathBuf {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let name = format!("routes-{}-{}", std::process::id(), NEXT.fetch_add(1, SeqCst));
+    std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name)
+}
+
+async fn scene(routes: &str, probation_ms: u64, change: impl Fn(&mut Value)) -> Scene {
+    let discovery = Discovery::start(vec![]).await;
+    let file = name().with_extension("toml");
+    std::fs::write(&file, routes).expect("the folder for tests takes a file");
+    let mut config = discovery.config(settings());
+    config["admin"] = "127.0.0.1:0".into();
+    config["routes"] = file.to_str().expect("text").into();
+    config["probation_ms"] = probation_ms.into();
+    change(&mut config);
+    let (proxy, admin) = Proxy::start_with_admin(&config).await;
+    let scene = Scene { proxy, admin, config, file, _discovery: discovery };
+    soon(async {
+        while scene.ask("GET", "/config/status", "").await.0 != 200 || !scene.ready().await {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    })
+    .await;
+    scene
+}
+
+impl Scene {
+    async fn ready(&self) -> bool {
+        let mut sender = connect(self.proxy.addr).await;
+        let request =
+            Request::get("/health/ready").header("host", "p").body(Full::default()).expect("well formed");
+        soon(sender.send_request(request)).await.expect("an answer").status() == 200
+    }
+
+    async fn ask(&self, method: &str, path: &str, body: &str) -> (u16, String) {
+        let mut sender = connect(self.admin).await;
+        let request = Request::builder().method(method).uri(path).header("host", "admin");
+        let request = request.body(Full::from(body.to_string())).expect("well formed");
+        let answer = soon(sender.send_request(request)).await.expect("an answer");
+        let status = answer.status().as_u16();
+        let body = soon(answer.into_body().collect()).await.expect("a whole one").to_bytes();
+        (status, String::from_utf8(body.to_vec()).expect("text"))
+    }
+
+    async fn status(&self) -> Value {
+        serde_json::from_str(&self.ask("GET", "/config/status", "").await.1).expect("JSON")
+    }
+
+    /// Waits until a generation is in force and none is under way.
+    async fn stands(&self, generation: u64) {
+        soon(async {
+            loop {
+                let status = self.status().await;
+                if status["generation"] == generation && status["open"].is_null() {
+                    return;
+                }
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        })
+        .await;
+    }
+
+    /// Applies a text and waits until it is in force.
+    async fn apply(&self, routes: &str) {
+        let before = self.status().await["generation"].clone();
+        let (status, said) = self.ask("POST", "/config/apply", routes).await;
+        assert_eq!(status, 200, "{said}");
+        soon(async {
+            while self.status().await["generation"] == before {
+                tokio::time::sleep(Duration::from_millis(2)).await;
+            }
+        })
+        .await;
+    }
+}
+
+async fn two_backends() -> (Arc<Orders>, Backend, Backend) {
+    let orders = Arc::new(Orders::default());
+    let (a, b) = (Backend::start("a", &orders).await, Backend::start("b", &orders).await);
+    (orders, a, b)
+}
+
+#[tokio::test]
+async fn requests_go_by_their_most_specific_route() {
+    let (_, a, b) = two_backends().await;
+    let text = pool("old", &[a.addr])
+        + &pool("new", &[b.addr])
+        + &route("all", "", "old")
+        + &route("looks", "class = \"look\"", "new")
+        + &route(
+            "some",
+            "class = \"look\"\ntenant = \"acme\"\nheader = { name = \"x-side\", is = \"old\" }",
+            "old",
+        );
+    let s = scene(&text, 1000, |_| {}).await;
+    assert_eq!(s.proxy.call("once").await, (200, "a".into()));
+    assert_eq!(s.proxy.call("look").await, (200, "b".into()));
+    let with = request("look").header("x-side", "old").body(Full::default()).expect("well formed");
+    assert_eq!(s.proxy.caller().await.send(with).await, (200, "a".into()));
+    let unknown = request("nothing").body(Full::default()).expect("well formed");
+    assert_eq!(s.proxy.caller().await.send(unknown).await.0, 404);
+    // What is counted says of which pool.
+    let (_, text) = s.ask("GET", "/metrics", "").await;
+    let line = r#"heathroad_requests_total{pool="new",class="look",tenant="acme",answer="served"} 1"#;
+    assert!(text.lines().any(|l| l == line), "{text}");
+}
+
+/// Two classes move from pool to pool together, 200 times, under load: what is taken after a change was in force goes
+/// by it, whatever its class; nothing is lost, and no connection to a backend that stays is opened anew.
+#[tokio::test]
+async fn no_request_sees_a_mixture_in_200_switch_overs() {
+    let (_, a, b) = two_backends().await;
+    let text = |to: &str| {
+        pool("one", &[a.addr])
+            + &pool("two", &[b.addr])
+            + &route("l", "class = \"look\"", to)
+            + &route("o", "class = \"once\"", to)
+    };
+    let s = scene(&text("one"), 20, |_| {}).await;
+    let (stop, served) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
+    let mut load = Vec::new();
+    for n in 0..8 {
+        let (mut caller, stop, served) = (s.proxy.caller().await, stop.clone(), served.clone());
+        load.push(tokio::spawn(async move {
+            while !stop.load(SeqCst) {
+                let (status, _) = caller.call(if n % 2 == 0 { "look" } else { "once" }).await;
+                // More than the limit takes at first is refused, as ever; nothing fails.
+                assert!([200, 503].contains(&status), "{status}");
+                served.fetch_add(usize::from(status == 200), SeqCst);
+            }
+        }));
+    }
+    let mut caller = s.proxy.caller().await;
+    for n in 0..200u64 {
+        let (to, backend) = if n % 2 == 0 { ("two", "b") } else { ("one", "a") };
+        s.apply(&text(to)).await;
+        for class in ["look", "once", "look", "once"] {
+            let (status, body) = caller.call(class).await;
+            assert!(
+                status == 503 || (status, body.as_str()) == (200, backend),
+                "change {n}, {class}: {status} {body}"
+            );
+        }
+        s.stands(n + 2).await;
+    }
+    stop.store(true, SeqCst);
+    for task in load {
+        task.await.expect("every call was served or refused");
+    }
+    let (served, connections) = (served.load(SeqCst), a.total() + b.total());
+    assert!(served > 2_000, "{served}");
+    assert!(connections < 40, "{connections} connections for {served} calls: both generations share them");
+}
+
+/// A request keeps the generation that it was taken under, its second try included.
+#[tokio::test]
+async fn a_resend_stays_in_the_generation_that_took_the_request() {
+    let orders = Arc::new(Orders::default());
+    let others = Arc::new(Orders::default());
+    let (a, b) = (Backend::start("a", &orders).await, Backend::start("b", &orders).await);
+    let c = Backend::start("c", &others).await;
+    let text = |members: &[SocketAddr]| pool("p", members) + &route("all", "", "p");
+    let s = scene(&text(&[a.addr, b.addr]), 20, |_| {}).await;
+    let release = Arc::new(Notify::new());
+    orders.give([Do::Hold(release.clone())]);
+    let mut caller = s.proxy.caller().await;
+    let held = tokio::spawn(async move { caller.call("look").await });
+    orders.came(1).await;
+    let first = orders.seen.borrow()[0].0;
+    s.apply(&text(&[c.addr])).await;
+    s.stands(2).await;
+    assert_eq!(s.proxy.call("look").await, (200, "c".into()));
+    assert_eq!(s.status().await["older_generations_in_use"], 1, "the one that is held pins it");
+    // Its connection breaks: the second try goes to the other of the old two.
+    let (went, other) = if first == "a" { (&a, "b") } else { (&b, "a") };
+    went.break_all().await;
+    assert_eq!(held.await.expect("no panic"), (200, other.into()));
+    soon(async {
+        while s.status().await["older_generations_in_use"] != 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_change_is_turned_down_whole_or_undone_on_demand() {
+    let (_, a, b) = two_backends().await;
+    let text = |to: SocketAddr| pool("p", &[to]) + &route("all", "", "p");
+    let s = scene(&text(a.addr), 60_000, |_| {}).await;
+    let (status, said) =
+        s.ask("POST", "/config/apply", &text(a.addr).replace("pool = \"p\"", "pool = \"q\"")).await;
+    assert!(status == 422 && said.contains("route[0].pool: no pool \"q\""), "{status} {said}");
+    let (status, said) = s.ask("POST", "/config/apply", &text(a.addr)).await;
+    assert!(status == 200 && said.contains("nothing changes"), "{status} {said}");
+    assert_eq!(s.ask("POST", "/config/undo", "").await.0, 409);
+    s.apply(&text(b.addr)).await;
+    assert_eq!(s.proxy.call("once").await, (200, "b".into()));
+    let (status, said) = s.ask("POST", "/config/apply", &text(a.addr)).await;
+    assert!(status == 409 && said.contains("generation 2 is under way"), "{status} {said}");
+    let (status, said) = s.ask("POST", "/config/undo", "").await;
+    assert!(status == 200 && said.contains("generation 2 is undone by 3"), "{status} {said}");
+    assert_eq!(s.proxy.call("once").await, (200, "a".into()));
+    assert_eq!(s.ask("GET", "/config/apply", "").await.0, 405);
+    // A pool whose backends can't be reached is never ready: what is in force stays.
+    let nobody =
+        tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port").local_addr().expect("bound");
+    let (status, said) = s.ask("POST", "/config/apply", &text(nobody)).await;
+    assert!(status == 200 && said.contains("generation 4 is staged"), "{status} {said}");
+    assert_eq!(s.proxy.call("once").await, (200, "a".into()));
+    assert!(s.ask("POST", "/config/undo", "").await.1.contains("generation 4 is given up"));
+}
+
+/// The new backend answers with errors: the change is undone by itself, soon, and says why.
+#[tokio::test]
+async fn a_harmful_change_is_undone_by_itself() {
+    let (good, bad) = (Arc::new(Orders::default()), Arc::new(Orders::default()));
+    let (a, b) = (Backend::start("a", &good).await, Backend::start("b", &bad).await);
+    let text = |to: SocketAddr| pool("p", &[to]) + &route("all", "", "p");
+    let mut s = scene(&text(a.addr), 20_000, |_| {}).await;
+    bad.give((0..100_000).map(|_| Do::Answer(500)));
+    let stop = Arc::new(AtomicBool::new(false));
+    let load: Vec<_> = (0..4)
+        .map(|_| {
+            let (stop, addr) = (stop.clone(), s.proxy.addr);
+            tokio::spawn(async move {
+                let mut caller = Caller(connect(addr).await);
+                while !stop.load(SeqCst) {
+                    assert!([200, 502, 503].contains(&caller.call("once").await.0));
+                }
+            })
+        })
+        .collect();
+    // Enough of the time before to be held against.
+    soon(good.seen.subscribe().wait_for(|s| s.len() > 500)).await.expect("open");
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    s.apply(&text(b.addr)).await;
+    s.proxy.says("generation 2 is undone by 3: pool p:").await;
+    assert_eq!(s.proxy.call("once").await, (200, "a".into()));
+    stop.store(true, SeqCst);
+    for task in load {
+        task.await.expect("every call was answered");
+    }
+}
+
+/// Killed on probation, the daemon starts on the last committed generation, and says so; a spoilt log is told.
+#[tokio::test]
+async fn a_start_after_a_kill_begins_with_what_was_committed() {
+    let (_, a, b) = two_backends().await;
+    let text = |to: SocketAddr| pool("p", &[to]) + &route("all", "", "p");
+    let folder = name();
+    std::fs::create_dir(&folder).expect("the folder for tests takes a folder");
+    let state = folder.to_str().expect("text").to_string();
+    let mut s = scene(&text(a.addr), 60_000, |c| c["state"] = state.clone().into()).await;
+    s.apply(&text(b.addr)).await;
+    assert_eq!(s.proxy.call("once").await, (200, "b".into()));
+    s.proxy.kill().await;
+    let restart = async |config: &Value, says: &str| {
+        let mut config = config.clone();
+        config["probation_ms"] = json!(20);
+        Proxy::start_and_hear(&config, says).await
+    };
+    let (proxy, admin) = restart(&s.config, "generation 2 was on probation and is not started").await;
+    (s.proxy, s.admin) = (proxy, admin);
+    assert_eq!(s.proxy.call("once").await, (200, "a".into()));
+    assert_eq!(s.status().await["generation"], 1);
+    // Committed, it is started; the file, which says otherwise, is named.
+    s.apply(&text(b.addr)).await;
+    s.stands(3).await;
+    s.proxy.kill().await;
+    (s.proxy, s.admin) = restart(&s.config, "differs from what is committed").await;
+    assert_eq!((s.proxy.call("once").await, &s.status().await["generation"]), ((200, "b".into()), &json!(3)));
+    s.proxy.kill().await;
+    // Torn behind the last record.
+    let log = folder.join("routing.log");
+    let mut bytes = std::fs::read(&log).expect("it is there");
+    bytes.extend(b"torn");
+    std::fs::write(&log, &bytes).expect("it can be written");
+    (s.proxy, s.admin) =
+        restart(&s.config, "4 bytes behind the last sound record are torn; they are cut off").await;
+    assert_eq!(s.proxy.call("once").await, (200, "b".into()));
+    s.proxy.kill().await;
+    // Of a newer format: it is left alone, and the file serves.
+    std::fs::write(&log, "heathroad-routing 7\n").expect("it can be written");
+    (s.proxy, s.admin) =
+        restart(&s.config, "the log is of format 7; expected 1 or older; it is left as it is").await;
+    assert_eq!(s.proxy.call("once").await, (200, "a".into()));
+    assert_eq!(std::fs::read(&log).expect("it is there"), b"heathroad-routing 7\n");
+}
+
+#[tokio::test]
+async fn a_reload_proposes_the_file_and_the_command_line_speaks_to_a_daemon() {
+    let (_, a, b) = two_backends().await;
+    let text = |to: SocketAddr| pool("p", &[to]) + &route("all", "", "p");
+    let mut s = scene(&text(a.addr), 20, |_| {}).await;
+    std::fs::write(&s.file, text(b.addr)).expect("it can be written");
+    s.proxy.reload(&s.config.to_string(), "generation 2 is in force").await;
+    assert_eq!(s.proxy.call("look").await, (200, "b".into()));
+    s.stands(2).await;
+    std::fs::write(&s.file, "nonsense").expect("it can be written");
+    s.proxy.reload(&s.config.to_string(), "configuration kept: ").await;
+    std::fs::write(&s.file, text(a.addr)).expect("it can be written");
+    let run = async |args: &[&str]| {
+        let mut command = tokio::process::Command::new(env!("CARGO_BIN_EXE_heathroad"));
+        command.args(args).args(["--admin", &s.admin.to_string()]);
+        let out = soon(command.output()).await.expect("it starts");
+        (out.status.code(), String::from_utf8_lossy(&[out.stdout, out.stderr].concat()).into_owned())
+    };
+    let (code, said) = run(&["apply", s.file.to_str().expect("text")]).await;
+    assert!(code == Some(0) && said.contains("generation 3 is staged"), "{said}");
+    s.stands(3).await;
+    let (code, said) = run(&["status"]).await;
+    assert!(code == Some(0) && said.contains("\"generation\":3"), "{said}");
+    let (code, said) = run(&["undo"]).await;
+    assert!(code == Some(0) && said.contains("generation 4 is staged"), "{said}");
+    s.stands(4).await;
+    assert_eq!(s.proxy.call("look").await, (200, "b".into()));
+}
+
+/// Pools that choose hosts of one registry by their labels; a drain there is a drain in a pool that lists the node.
+#[tokio::test]
+async fn pools_choose_hosts_by_label_and_one_node_is_one_node() {
+    let (_, a, b) = two_backends().await;
+    let mut lines = [a.line("SERVING"), b.line("SERVING")];
+    lines[1]["class"] = "m3".into();
+    let discovery = Discovery::start(lines.to_vec()).await;
+    let classes = |text: String| text[text.find("[[pool.class]]").expect("classes")..].to_string();
+    let chosen = |name: &str, class: &str| {
+        format!("[[pool]]\nname = \"{name}\"\nregistry = \"default\"\nselect = {{ class = \"{class}\" }}\n")
+            + &classes(pool("x", &[a.addr]))
+    };
+    let text = chosen("m", "m")
+        + &chosen("m3", "m3")
+        + &pool("listed", &[a.addr, b.addr])
+        + &route("l", "class = \"look\"", "m")
+        + &route("k", "class = \"keep\"", "m3")
+        + &route("o", "class = \"once\"", "listed");
+    let s = scene(&text, 1000, |c| c["discovery"] = discovery.config(settings())["discovery"].clone()).await;
+    discovery.settled().await;
+    soon(async {
+        while s.proxy.call("look").await != (200, "a".into())
+            || s.proxy.call("keep").await != (200, "b".into())
+        {}
+    })
+    .await;
+    let mut drains = lines.clone();
+    drains[0]["health"] = "DRAINING".into();
+    discovery.tell(drains.to_vec()).await;
+    for _ in 0..20 {
+        assert_eq!(
+            s.proxy.call("once").await,
+            (200, "b".into()),
+            "the list names it, and it drains all the same"
+        );
+    }
+    discovery.tell(lines.to_vec()).await;
+    soon(async { while s.proxy.call("once").await != (200, "a".into()) {} }).await;
+}
