Rehearsals of changes: switch-over, harmful-change, undo-meets-drain; counts outlive pools

Need: transactions were shown by tests of one daemon, not with several proxies under load and faults.

Change: scenarios have routes and changes that are proposed to every proxy of the first tier, and expectations on what became of them. Counters of a pool belong to the daemon's meter and outlive its runs; runs of one name count together. Reading a file of routes finds lines by search.

--- a/crates/heathroad-rehearsal/src/daemon.rs
+++ b/crates/heathroad-rehearsal/src/daemon.rs
@@ -221,9 +221,20 @@
 
 /// A plain GET on a connection of its own.
 pub async fn get(addr: SocketAddr, path: &str) -> io::Result<(u16, Vec<u8>)> {
+    call(addr, format!("GET {path} HTTP/1.1\r\nHost: heathroad\r\n\r\n")).await
+}
+
+/// A plain POST on a connection of its own.
+pub async fn post(addr: SocketAddr, path: &str, body: &str) -> io::Result<(u16, Vec<u8>)> {
+    let length = body.len();
+    call(addr, format!("POST {path} HTTP/1.1\r\nHost: heathroad\r\nContent-Length: {length}\r\n\r\n{body}"))
+        .await
+}
+
+async fn call(addr: SocketAddr, request: String) -> io::Result<(u16, Vec<u8>)> {
     let call = async {
         let mut stream = TcpStream::connect(addr).await?;
-        stream.write_all(format!("GET {path} HTTP/1.1\r\nHost: heathroad\r\n\r\n").as_bytes()).await?;
+        stream.write_all(request.as_bytes()).await?;
         let mut buffer = crate::http::Buffer::default();
         let response = buffer.response(&mut stream).await;
         response.map_err(|_| io::Error::other("no whole answer")).map(|r| (r.status, r.body))
--- a/crates/heathroad-rehearsal/src/outcome.rs
+++ b/crates/heathroad-rehearsal/src/outcome.rs
@@ -226,6 +226,9 @@
             let [least, most] = l.seen;
             writeln!(out, "    {}: seen {least} to {most}, counted {}", l.what, l.counted)?;
         }
+        for (no, became) in &self.seen.changes {
+            writeln!(out, "  change     {}: {became}", self.seen.proxies[usize::from(*no)])?;
+        }
         for e in &self.expectations {
             let word = if e.ok { "met" } else { "MISSED" };
             writeln!(out, "  expected   {} {}: {:.3}, {word}", e.name, e.bound, e.figure)?;
@@ -249,7 +252,15 @@
 fn expectations(seen: &Seen, verdict: &Verdict) -> Vec<Expectation> {
     let mut list = Vec::new();
     for e in &seen.plan.scenario.expect {
-        let Some(figure) = verdict.figure(&e.figure) else { continue };
+        let changes =
+            |word: &str| seen.changes.iter().filter(|(_, became)| became.contains(word)).count() as f64;
+        let figure = match e.figure.as_str() {
+            "changes_committed" => Some(changes("is committed")),
+            "changes_undone" => Some(changes("is undone by")),
+            "changes_given_up" => Some(changes("given up")),
+            other => verdict.figure(other),
+        };
+        let Some(figure) = figure else { continue };
         let mut hold = |side: &str, bound: Option<f64>, ok: &dyn Fn(f64) -> bool| {
             if let Some(bound) = bound {
                 list.push(Expectation { name: format!("{} {side}", e.figure), ok: ok(bound), figure, bound });
--- a/crates/heathroad-rehearsal/src/plan.rs
+++ b/crates/heathroad-rehearsal/src/plan.rs
@@ -287,6 +287,11 @@
         hash.update((f.tier as u64).to_le_bytes());
         f.victims.iter().for_each(|v| hash.update(v.to_le_bytes()));
     }
+    hash.update(plan.scenario.routes.as_deref().unwrap_or_default());
+    for c in &plan.scenario.change {
+        hash.update(c.at_s.to_le_bytes());
+        hash.update(&c.routes);
+    }
     let mut text = String::new();
     for byte in hash.finalize().iter().take(8) {
         // Writing to text does not fail.
--- a/crates/heathroad-rehearsal/src/report.rs
+++ b/crates/heathroad-rehearsal/src/report.rs
@@ -47,9 +47,15 @@
 pub fn page(outcome: &Outcome) -> Result<String, String> {
     let plan = &outcome.seen.plan;
     let at = |t: Micros| seconds(t, plan.start);
+    let changes = plan.scenario.change.iter().map(|c| (c.at_s, c.at_s, "change of routes".to_string()));
     let back = Backdrop {
         length: plan.length as f64 / SECOND as f64,
-        bands: plan.faults.iter().map(|f| (at(f.at), at(f.until), f.label(&plan.scenario))).collect(),
+        bands: plan
+            .faults
+            .iter()
+            .map(|f| (at(f.at), at(f.until), f.label(&plan.scenario)))
+            .chain(changes)
+            .collect(),
         breaches: outcome.verdict.breaches.iter().map(|b| at(b.at)).collect(),
     };
     let mut out = String::new();
--- a/crates/heathroad-rehearsal/src/scenario.rs
+++ b/crates/heathroad-rehearsal/src/scenario.rs
@@ -13,6 +13,9 @@
     ("rolling-restart", include_str!("../../../rehearsals/rolling-restart.toml")),
     ("spoilt", include_str!("../../../rehearsals/spoilt.toml")),
     ("registry", include_str!("../../../rehearsals/registry.toml")),
+    ("switch-over", include_str!("../../../rehearsals/switch-over.toml")),
+    ("harmful-change", include_str!("../../../rehearsals/harmful-change.toml")),
+    ("undo-meets-drain", include_str!("../../../rehearsals/undo-meets-drain.toml")),
     ("any-night", include_str!("../../../rehearsals/any-night.toml")),
     ("flood", include_str!("../../../rehearsals/flood.toml")),
     ("short", include_str!("../../../rehearsals/short.toml")),
@@ -39,6 +42,12 @@
     pub clients: Clients,
     /// Figures of the four rules.
     pub rules: Rules,
+    /// Routes and pools of the first tier's proxies, as the text of their file; else each has the one pool.
+    #[serde(default)]
+    pub routes: Option<String>,
+    /// Changes of these, proposed to every proxy of the first tier.
+    #[serde(default)]
+    pub change: Vec<Change>,
     /// What goes wrong.
     #[serde(default)]
     pub fault: Vec<Fault>,
@@ -75,6 +84,8 @@
     pub conn_idle_ms: f64,
     /// A connection not made by then has failed.
     pub connect_timeout_ms: f64,
+    /// A change of routes is watched for so long.
+    pub probation_s: f64,
 }
 
 /// A kind of requests.
@@ -175,6 +186,29 @@
     /// Calls to the next tier for each request.
     #[serde(default)]
     pub calls: u16,
+    /// Its kinds; those past them, and all where there are none, are `std`.
+    #[serde(default)]
+    pub kinds: Vec<Kind>,
+}
+
+/// Backends of one kind, a label that the registry tells.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Kind {
+    /// Its name.
+    pub name: String,
+    /// How many of the tier's backends, after those of the kinds before.
+    pub backends: u16,
+}
+
+/// A change of routes.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Change {
+    /// When it is proposed, in seconds.
+    pub at_s: f64,
+    /// The text that is proposed.
+    pub routes: String,
 }
 
 /// How clients behave. Shares are of first tries.
@@ -417,6 +451,9 @@
     "run_twice_by_proxies",
     "resends_seen",
     "rude_unanswered",
+    "changes_committed",
+    "changes_undone",
+    "changes_given_up",
 ];
 
 /// Reads a scenario by its shipped name or its file.
@@ -459,6 +496,18 @@
 }
 
 impl Scenario {
+    /// The kind of a tier's backend, by its place from 0.
+    pub fn kind(&self, tier: usize, place: u16) -> &str {
+        let mut before = 0;
+        for k in &self.tier[tier].kinds {
+            before += k.backends;
+            if place < before {
+                return &k.name;
+            }
+        }
+        "std"
+    }
+
     /// The tier of a name.
     pub fn tier_named(&self, name: &str) -> Option<usize> {
         self.tier.iter().position(|t| t.name == name)
@@ -485,6 +534,7 @@
             ("run.retry_after_ms".into(), self.run.retry_after_ms, [0.0, 60_000.0]),
             ("run.conn_idle_ms".into(), self.run.conn_idle_ms, [100.0, 3.6e6]),
             ("run.connect_timeout_ms".into(), self.run.connect_timeout_ms, [10.0, 60_000.0]),
+            ("run.probation_s".into(), self.run.probation_s, [0.02, 3600.0]),
             ("class".into(), self.class.len() as f64, [1.0, 64.0]),
             ("tenant".into(), self.tenant.len() as f64, [1.0, 1000.0]),
             ("tier".into(), self.tier.len() as f64, [1.0, 4.0]),
@@ -546,6 +596,9 @@
             ranges.push(("drawn.for_s[0]".into(), d.for_s[0], [0.0, d.for_s[1]]));
             ranges.push(("drawn.for_s[1]".into(), d.for_s[1], [0.0, 3600.0]));
         }
+        for (i, c) in self.change.iter().enumerate() {
+            ranges.push((format!("change[{i}].at_s"), c.at_s, [0.0, self.run.seconds]));
+        }
         for (i, r) in self.repeat.iter().enumerate() {
             ranges.push((format!("repeat[{i}].at_s"), r.at_s, [0.0, self.run.seconds]));
             ranges.push((format!("repeat[{i}].after_s"), r.after_s, [0.01, self.run.seconds]));
@@ -611,6 +664,9 @@
                 return Err(format!("repeat[{i}].tenant: {:?} is no tenant", r.tenant));
             }
         }
+        if self.routes.is_none() && !self.change.is_empty() {
+            return Err("change[0]: there are no `routes` to change".into());
+        }
         for (i, e) in self.expect.iter().enumerate() {
             if !FIGURES.contains(&e.figure.as_str()) {
                 return Err(format!("expect[{i}].figure: {:?} is none of {}", e.figure, FIGURES.join(", ")));
--- a/crates/heathroad-rehearsal/src/stage.rs
+++ b/crates/heathroad-rehearsal/src/stage.rs
@@ -74,6 +74,8 @@
     pub counts: Vec<Counted>,
     /// The limit, calls in flight and descriptors of the first tier's proxies, through time.
     pub samples: Vec<Sample>,
+    /// What became of changes of routes, with the proxy.
+    pub changes: Vec<(ProxyNo, String)>,
     /// How late the driver began first tries.
     pub driver_late: Histogram<u64>,
     /// How late the stage itself was.
@@ -137,6 +139,7 @@
     front: Arc<Front>,
     counts: RefCell<Vec<Counted>>,
     samples: RefCell<Vec<Sample>>,
+    changes: RefCell<Vec<(ProxyNo, String)>>,
     stage_late: RefCell<Histogram<u64>>,
     troubles: RefCell<Vec<String>>,
     ip: Cell<[u8; 3]>,
@@ -212,6 +215,7 @@
             front: Arc::default(),
             counts: RefCell::default(),
             samples: RefCell::default(),
+            changes: RefCell::default(),
             stage_late: RefCell::new(stage_late),
             troubles: RefCell::default(),
             ip: Cell::new(network()),
@@ -229,7 +233,8 @@
                 let ip = self.ip();
                 let doors = doors(ip, &senders).map_err(|e| format!("{ip}: {e}"))?;
                 let name = format!("{}-{}", t.name, i + 1);
-                self.host(tier, name, i / 2, memories[usize::from(i / 2)].clone(), doors);
+                let host = self.host(tier, name, i / 2, memories[usize::from(i / 2)].clone(), doors);
+                host.kind.replace(plan.scenario.kind(tier, i).to_string());
             }
         }
         // Those that will come up at another's address, down until then.
@@ -255,7 +260,7 @@
         cell: u16,
         memory: Rc<RefCell<Memory>>,
         doors: Vec<(ProxyNo, std::net::SocketAddr)>,
-    ) {
+    ) -> Rc<Backend> {
         let plan = &self.world.plan;
         let (t, rules) = (&plan.scenario.tier[tier], &plan.scenario.rules);
         let no = self.hosts.borrow().len() as HostNo;
@@ -274,7 +279,8 @@
         let machine = Machine::new(make, self.world.clock);
         let host = Backend::new(&self.world, (no, name, tier, cell), machine, memory, doors);
         self.registry.know(&host);
-        self.hosts.borrow_mut().push(host);
+        self.hosts.borrow_mut().push(host.clone());
+        host
     }
 
     fn ip(&self) -> IpAddr {
@@ -343,7 +349,13 @@
             None => self.registry_address(no).await?,
         };
         let sockets = self.world.plan.scenario.run.sockets;
-        let config = self.config(slot, registry);
+        let mut config = self.config(slot, registry);
+        if let Some(text) = self.world.plan.scenario.routes.as_ref().filter(|_| slot.tier == 0) {
+            let file = slot.file.with_extension("toml");
+            std::fs::write(&file, text).map_err(|e| format!("{}: {e}", file.display()))?;
+            config["routes"] = file.display().to_string().into();
+            config["probation_ms"] = ((self.world.plan.scenario.run.probation_s * 1000.0) as u64).into();
+        }
         let daemon = daemon::start(&self.setting.program, &slot.file, &config, sockets).await?;
         let listens = daemon.listens;
         slot.daemon.replace(Some(daemon));
@@ -425,6 +437,16 @@
                 }
             });
         }
+        for (n, change) in plan.scenario.change.iter().enumerate() {
+            for no in self.senders(0) {
+                let (stage, at) = (self.clone(), plan.start + (change.at_s * SECOND as f64) as Micros);
+                beside.spawn_local(async move {
+                    stage.world.clock.until(at).await;
+                    let became = stage.change(n, no).await.unwrap_or_else(|e| e);
+                    stage.changes.borrow_mut().push((no, became));
+                });
+            }
+        }
         while !driver.is_finished() {
             sleep(Duration::from_millis(20)).await;
         }
@@ -461,6 +483,28 @@
         }
     }
 
+    /// Proposes a change to a proxy, and waits for what becomes of it.
+    async fn change(&self, n: usize, no: ProxyNo) -> Result<String, String> {
+        let admin = self.slots[usize::from(no)].daemon.borrow().as_ref().map(|d| d.admin);
+        let admin = admin.ok_or("given up: the proxy was away")?;
+        let begun = self.world.clock.now();
+        let text = &self.world.plan.scenario.change[n].routes;
+        let (status, said) = daemon::post(admin, "/config/apply", text).await.map_err(|e| e.to_string())?;
+        if status != 200 {
+            return Err(format!("turned down: {}", String::from_utf8_lossy(&said)));
+        }
+        loop {
+            sleep(WATCH / 4).await;
+            let Ok((200, body)) = daemon::get(admin, "/config/status").await else { continue };
+            let Ok(status) = serde_json::from_slice::<Value>(&body) else { continue };
+            if status["open"].is_null() {
+                let last = status["told"].as_array().and_then(|t| t.last()?.as_str()).unwrap_or_default();
+                let after = self.world.clock.now().saturating_sub(begun) as f64 / SECOND as f64;
+                return Ok(format!("{last}, {after:.1} s after it was proposed"));
+            }
+        }
+    }
+
     /// Measures how late this thread is: what it stands in for would be as late.
     async fn beat(self: Rc<Self>) {
         loop {
@@ -728,6 +772,7 @@
             makes: hosts.iter().map(|h| h.machine.make.clone()).collect(),
             counts: self.counts.take(),
             samples: self.samples.take(),
+            changes: self.changes.take(),
             driver_late: driven.lateness,
             stage_late: self.stage_late.borrow().clone(),
             dropped: driven.dropped,
--- a/crates/heathroad-rehearsal/src/stand_in/backend.rs
+++ b/crates/heathroad-rehearsal/src/stand_in/backend.rs
@@ -93,6 +93,8 @@
     pub tier: usize,
     /// Its cell: by twos.
     pub cell: u16,
+    /// Its kind, as the registry tells it.
+    pub kind: RefCell<String>,
     /// Its machine.
     pub machine: Machine,
     world: Rc<World>,
@@ -163,6 +165,7 @@
             name,
             tier,
             cell,
+            kind: RefCell::new("std".into()),
             machine,
             world: world.clone(),
             memory,
--- a/crates/heathroad-rehearsal/src/stand_in/registry.rs
+++ b/crates/heathroad-rehearsal/src/stand_in/registry.rs
@@ -219,7 +219,7 @@
                 continue;
             }
             let Some(dial) = host.door(proxy) else { continue };
-            lines.push(json!({"host": host.name, "dial": dial.to_string(), "site": ZONE, "class": "std",
+            lines.push(json!({"host": host.name, "dial": dial.to_string(), "site": ZONE, "class": *host.kind.borrow(),
                 "block": host.cell, "health": e.health.word(), "share": 1.0, "born_ms": e.born_ms}));
         }
         let text = json!({"seq": seq, "whole": whole, "hosts": lines}).to_string();
--- a/crates/heathroad-routing/src/file.rs
+++ b/crates/heathroad-routing/src/file.rs
@@ -128,7 +128,8 @@
 
 /// Reads and checks a file's text. `file` is its name in messages.
 pub fn read(file: &str, text: &str) -> Result<Config, Faults> {
-    let lines = Lines { text, list: RefCell::default() };
+    let ends = text.bytes().enumerate().filter(|(_, b)| *b == b'\n').map(|(at, _)| at).collect();
+    let lines = Lines { text, ends, list: RefCell::default() };
     let config = lines.config();
     let mut list = lines.list.into_inner();
     if list.is_empty()
@@ -143,6 +144,8 @@
 
 struct Lines<'a> {
     text: &'a str,
+    /// Where lines end.
+    ends: Vec<usize>,
     list: RefCell<Vec<Fault>>,
 }
 
@@ -157,7 +160,7 @@
 
 impl<'a> Lines<'a> {
     fn line(&self, at: usize) -> usize {
-        1 + self.text.as_bytes()[..at.min(self.text.len())].iter().filter(|b| **b == b'\n').count()
+        1 + self.ends.partition_point(|end| *end < at)
     }
 
     fn fault(
@@ -287,7 +290,7 @@
         }
         for clash in crate::table::clashes(&routes) {
             let (one, other) = (&routes[clash.one], &routes[clash.other]);
-            let at = self.text.lines().take(other.line - 1).map(|l| l.len() + 1).sum();
+            let at = other.line.checked_sub(2).and_then(|l| self.ends.get(l)).map_or(0, |end| end + 1);
             let (field, reason) = (format!("route[{}]", clash.other), clash.reason(one));
             self.fault(at, field, reason, "for each request one route that is most specific");
         }
--- a/crates/heathroad-routing/tests/table.rs
+++ b/crates/heathroad-routing/tests/table.rs
@@ -141,32 +141,31 @@
             };
             text += &format!("[[route]]\nname = \"r{i}\"\npool = \"a\"\n{when}\n");
         }
+        let memory = || {
+            let status = std::fs::read_to_string("/proc/self/status").expect("the system's account");
+            let line = status.lines().find(|l| l.starts_with("VmRSS")).expect("it is there");
+            line.split_whitespace().nth(1).and_then(|kb| kb.parse::<i64>().ok()).expect("a number")
+        };
+        let before = memory();
         let begun = std::time::Instant::now();
         let config = read("measured", &text).expect("good");
         let checked = begun.elapsed();
         let t = Table::new(&config).expect("few shapes");
+        let held = memory() - before;
+        let asked: Vec<(String, String)> =
+            (0..n).map(|i| (format!("h{i}.org"), format!("/s{i}/x"))).collect();
         let begun = std::time::Instant::now();
         let looks = 1_000_000;
         let mut found = 0;
         for i in 0..looks {
-            let i = i % n;
-            let (host, path) = (format!("h{i}.org"), format!("/s{i}/x"));
+            let (host, path) = &asked[i % n];
             let header = |_: &str| None;
-            let r = Request {
-                listener: "",
-                host: &host,
-                path: &path,
-                method: "",
-                class: "c",
-                tenant: "t",
-                header: &header,
-            };
+            let r =
+                Request { listener: "", host, path, method: "", class: "c", tenant: "t", header: &header };
             found += usize::from(t.route(&r).is_some());
         }
+        assert_eq!(found, looks);
         let took = begun.elapsed().as_nanos() as f64 / looks as f64;
-        println!(
-            "{n} routes: read and checked in {checked:?}, {took:.0} ns a look-up, {found} found, {} bytes",
-            text.len()
-        );
+        println!("{n} routes: read and checked in {checked:?}, {took:.0} ns a look-up, {held} KiB held");
     }
 }
--- a/crates/heathroad/src/counts.rs
+++ b/crates/heathroad/src/counts.rs
@@ -65,8 +65,9 @@
 
 const NOTICES: [&str; 3] = ["draining", "gone", "replaced"];
 
-#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+#[derive(Clone, Debug, Hash, PartialEq, Eq, PartialOrd, Ord, EncodeLabelSet, Serialize)]
 struct OfRequest {
+    #[serde(skip_serializing_if = "String::is_empty")]
     pool: String,
     class: String,
     tenant: String,
@@ -109,9 +110,28 @@
 
 type Figure = Gauge<f64, AtomicU64>;
 
-/// The metrics of a daemon, over all its pools. The one pool of a daemon without routes has no name.
+/// Most pools that are counted by name; what further ones do is counted together. Names of pools come and go with
+/// configurations, and counters never go.
+const MAX_POOLS: usize = 1_000;
+const OTHERS: &str = "(others)";
+
+/// The counters of a pool that have no names in them.
+#[derive(Clone)]
+struct OfOnePool {
+    attempts: [Counter; OUTCOMES.len()],
+    late: [Counter; OUTCOMES.len()],
+    resends: [Counter; OUTCOMES.len()],
+    drains: [Counter; NOTICES.len()],
+    cold: Counter,
+}
+
+/// The metrics of a daemon, over all the pools that it ever had: several runs of one name count together. The one
+/// pool of a daemon without routes has no name.
 pub struct Meter {
     registry: Registry,
+    /// Every pool, and every row of requests, that was counted: families can't be listed back.
+    pools: RefCell<BTreeMap<String, OfOnePool>>,
+    rows: RefCell<BTreeMap<OfRequest, Counter>>,
     requests: Family<OfRequest, Counter>,
     attempts: Family<ByOutcome, Counter>,
     late: Family<ByOutcome, Counter>,
@@ -129,7 +149,7 @@
     descriptors_most: Gauge,
 }
 
-/// The counters of one pool. They start at 0 and never go back.
+/// What one run of a pool counts in. Counters start at 0 and never go back.
 pub struct Counts {
     meter: Rc<Meter>,
     pool: String,
@@ -137,12 +157,8 @@
     tenants: Vec<String>,
     /// The counters of requests by class, tenant and answer, once they were needed.
     resolved: RefCell<Vec<Option<Counter>>>,
-    attempts: [Counter; OUTCOMES.len()],
-    late: [Counter; OUTCOMES.len()],
-    resends: [Counter; OUTCOMES.len()],
-    drains: [Counter; NOTICES.len()],
-    cold: Counter,
-    /// Final answers by kind, and served ones that came after their aim.
+    of: OfOnePool,
+    /// Final answers of this run by kind, and served ones that came after their aim.
     finals: [Cell<u64>; FINALS.len()],
     after_aim: Cell<u64>,
 }
@@ -202,6 +218,8 @@
         r.register("descriptors_max", "Descriptors that the process may hold", descriptors_most.clone());
         Meter {
             registry,
+            pools: RefCell::default(),
+            rows: RefCell::default(),
             requests,
             attempts,
             late,
@@ -226,18 +244,39 @@
         statuses.entry(status).or_insert_with(new).inc();
     }
 
+    fn pool(&self, name: &str) -> (String, OfOnePool) {
+        let mut pools = self.pools.borrow_mut();
+        let name = if pools.len() < MAX_POOLS || pools.contains_key(name) { name } else { OTHERS };
+        let pool = || name.to_string();
+        let by = |outcome| ByOutcome { pool: pool(), outcome };
+        let new = || OfOnePool {
+            attempts: OUTCOMES.map(|o| self.attempts.get_or_create(&by(o)).clone()),
+            late: OUTCOMES.map(|o| self.late.get_or_create(&by(o)).clone()),
+            resends: OUTCOMES.map(|after| self.resends.get_or_create(&After { pool: pool(), after }).clone()),
+            drains: NOTICES
+                .map(|notice| self.drains.get_or_create(&ByNotice { pool: pool(), notice }).clone()),
+            cold: self.cold.get_or_create(&OfPool { pool: pool() }).clone(),
+        };
+        (pool(), pools.entry(pool()).or_insert_with(new).clone())
+    }
+
     /// Everything as Prometheus text; `descriptors` are those held, and the most.
-    pub fn text(&self, pools: &[Moment<'_>], descriptors: [usize; 2]) -> String {
+    pub fn text(&self, runs: &[Moment<'_>], descriptors: [usize; 2]) -> String {
         let gauge = |n: usize| i64::try_from(n).unwrap_or(i64::MAX);
-        for m in pools {
-            let pool = &m.counts.pool;
+        for pool in self.pools.borrow().keys() {
             let of = OfPool { pool: pool.clone() };
-            self.limit.get_or_create(&of).set(m.load.limit);
-            self.in_flight.get_or_create(&of).set(m.load.in_flight as i64);
-            self.open.get_or_create(&of).set(gauge(m.open));
-            for (i, s) in m.load.slices.iter().enumerate() {
+            let runs = || runs.iter().filter(|m| m.counts.pool == *pool);
+            self.limit.get_or_create(&of).set(runs().map(|m| m.load.limit).sum());
+            self.in_flight.get_or_create(&of).set(runs().map(|m| m.load.in_flight as i64).sum());
+            self.open.get_or_create(&of).set(gauge(runs().map(|m| m.open).sum()));
+            let slices = runs().map(|m| m.load.slices.len()).max().unwrap_or(0);
+            for i in 0..slices {
                 let slice = OfSlice { pool: pool.clone(), slice: i as u32 };
-                for (family, figure) in self.slices.iter().zip([s.limit, s.busy, s.held as f64]) {
+                let sum = |figure: fn(&SliceLoad) -> f64| {
+                    runs().filter_map(|m| m.load.slices.get(i)).map(figure).sum::<f64>()
+                };
+                let figures = [sum(|s| s.limit), sum(|s| s.busy), sum(|s| s.held as f64)];
+                for (family, figure) in self.slices.iter().zip(figures) {
                     family.get_or_create(&slice).set(figure);
                 }
             }
@@ -250,25 +289,28 @@
         text
     }
 
-    /// The same as one JSON object on one line. Figures of the limit are sums over pools.
-    pub fn json(&self, pools: &[Moment<'_>], descriptors: [usize; 2]) -> String {
+    /// The same as one JSON object on one line. What has no pool in it is a sum over all.
+    pub fn json(&self, runs: &[Moment<'_>], descriptors: [usize; 2]) -> String {
+        let pools = self.pools.borrow();
         let sums =
-            |names: &[&'static str], of: &dyn Fn(&Counts) -> &[Counter]| -> BTreeMap<&'static str, u64> {
-                let sum = |i: usize| pools.iter().filter_map(|m| of(m.counts).get(i)).map(Counter::get).sum();
+            |names: &[&'static str], of: &dyn Fn(&OfOnePool) -> &[Counter]| -> BTreeMap<&'static str, u64> {
+                let sum = |i: usize| pools.values().filter_map(|p| of(p).get(i)).map(Counter::get).sum();
                 names.iter().enumerate().map(|(i, name)| (*name, sum(i))).collect()
             };
+        let rows = self.rows.borrow();
+        let row = |(of, counter): (&OfRequest, &Counter)| Row { of: of.clone(), count: counter.get() };
         let whole = Whole {
-            requests: pools.iter().flat_map(|m| m.counts.rows()).collect(),
-            attempts: sums(&OUTCOMES, &|c| &c.attempts),
-            late_ends: sums(&OUTCOMES, &|c| &c.late),
-            resends: sums(&OUTCOMES, &|c| &c.resends),
-            drains: sums(&NOTICES, &|c| &c.drains),
-            cold_sends: pools.iter().map(|m| m.counts.cold.get()).sum(),
+            requests: rows.iter().map(row).collect(),
+            attempts: sums(&OUTCOMES, &|p| &p.attempts),
+            late_ends: sums(&OUTCOMES, &|p| &p.late),
+            resends: sums(&OUTCOMES, &|p| &p.resends),
+            drains: sums(&NOTICES, &|p| &p.drains),
+            cold_sends: pools.values().map(|p| p.cold.get()).sum(),
             unusable: self.statuses.borrow().iter().map(|(s, c)| (s.to_string(), c.get())).collect(),
-            limit: pools.iter().map(|m| m.load.limit).sum(),
-            in_flight: pools.iter().map(|m| m.load.in_flight).sum(),
-            slices: pools.iter().flat_map(|m| &m.load.slices).collect(),
-            requests_open: pools.iter().map(|m| m.open).sum(),
+            limit: runs.iter().map(|m| m.load.limit).sum(),
+            in_flight: runs.iter().map(|m| m.load.in_flight).sum(),
+            slices: runs.iter().flat_map(|m| &m.load.slices).collect(),
+            requests_open: runs.iter().map(|m| m.open).sum(),
             descriptors: descriptors[0],
             descriptors_max: descriptors[1],
         };
@@ -280,22 +322,15 @@
 impl Counts {
     /// Counters of a pool for the names of its site.
     pub fn new(meter: &Rc<Meter>, pool: &str, site: &Site) -> Self {
-        let name = || pool.to_string();
-        let by = |outcome| ByOutcome { pool: name(), outcome };
         let [classes, tenants] = [&site.classes, &site.tenants].map(Clone::clone);
+        let (pool, of) = meter.pool(pool);
         Counts {
             resolved: RefCell::new(vec![None; classes.len() * tenants.len().max(1) * FINALS.len()]),
-            attempts: OUTCOMES.map(|o| meter.attempts.get_or_create(&by(o)).clone()),
-            late: OUTCOMES.map(|o| meter.late.get_or_create(&by(o)).clone()),
-            resends: OUTCOMES
-                .map(|after| meter.resends.get_or_create(&After { pool: name(), after }).clone()),
-            drains: NOTICES
-                .map(|notice| meter.drains.get_or_create(&ByNotice { pool: name(), notice }).clone()),
-            cold: meter.cold.get_or_create(&OfPool { pool: name() }).clone(),
             finals: Default::default(),
             after_aim: Cell::new(0),
             meter: meter.clone(),
-            pool: name(),
+            pool,
+            of,
             classes,
             tenants,
         }
@@ -316,7 +351,8 @@
             let name = |names: &[String], at| names.get(at).cloned().unwrap_or_default();
             let (class, tenant) = (name(&self.classes, class), name(&self.tenants, tenant));
             let row = OfRequest { pool: self.pool.clone(), class, tenant, answer: FINALS[answer] };
-            self.meter.requests.get_or_create(&row).clone()
+            let counter = self.meter.requests.get_or_create(&row).clone();
+            self.meter.rows.borrow_mut().entry(row).or_insert(counter).clone()
         });
         counter.inc();
         let kind = &self.finals[answer];
@@ -337,59 +373,42 @@
 
     /// An attempt ended; `rejected` where the backend turned it down as unusable.
     pub fn ended(&self, outcome: Outcome, rejected: bool) {
-        self.attempts[if rejected { REJECTED } else { place(outcome) }].inc();
+        self.of.attempts[if rejected { REJECTED } else { place(outcome) }].inc();
     }
 
     /// The work of an attempt that was given up ended, or is seen no longer.
     pub fn ended_late(&self, outcome: Outcome) {
-        self.late[place(outcome)].inc();
+        self.of.late[place(outcome)].inc();
     }
 
     /// A request is sent again after an attempt that ended so; nothing where the one before is still out.
     pub fn resent(&self, after: Option<Outcome>) {
         if let Some(after) = after {
-            self.resends[place(after)].inc();
+            self.of.resends[place(after)].inc();
         }
     }
 
     /// A backend's process gets nothing new from now on.
     pub fn drained(&self, notice: Notice) {
-        self.drains[notice as usize].inc();
+        self.of.drains[notice as usize].inc();
     }
 
     /// An attempt went to a backend that may be cold.
     pub fn sent_cold(&self) {
-        self.cold.inc();
-    }
-
-    fn rows(&self) -> Vec<Row<'_>> {
-        let tenants = self.tenants.len().max(1);
-        let resolved = self.resolved.borrow();
-        let counted = resolved.iter().enumerate().filter_map(|(at, counter)| Some((at, counter.as_ref()?)));
-        let row = |(at, counter): (usize, &Counter)| {
-            let pair = at / FINALS.len();
-            Row {
-                class: self.classes.get(pair / tenants).map_or("", String::as_str),
-                tenant: self.tenants.get(pair % tenants).map_or("", String::as_str),
-                answer: FINALS[at % FINALS.len()],
-                count: counter.get(),
-            }
-        };
-        counted.map(row).collect()
+        self.of.cold.inc();
     }
 }
 
 #[derive(Serialize)]
-struct Row<'a> {
-    class: &'a str,
-    tenant: &'a str,
-    answer: &'static str,
+struct Row {
+    #[serde(flatten)]
+    of: OfRequest,
     count: u64,
 }
 
 #[derive(Serialize)]
 struct Whole<'a> {
-    requests: Vec<Row<'a>>,
+    requests: Vec<Row>,
     attempts: BTreeMap<&'a str, u64>,
     late_ends: BTreeMap<&'a str, u64>,
     resends: BTreeMap<&'a str, u64>,
--- a/crates/heathroad/tests/routes.rs
+++ b/crates/heathroad/tests/routes.rs
@@ -224,6 +224,13 @@
         }
     })
     .await;
+    // What the run that has gone had counted stays counted, with its successor's.
+    let counts: Value = serde_json::from_str(&s.ask("GET", "/counts", "").await.1).expect("JSON");
+    assert_eq!(
+        counts["requests"],
+        json!([{"pool": "p", "class": "look", "tenant": "acme", "answer": "served", "count": 2}])
+    );
+    assert_eq!((&counts["attempts"]["served"], &counts["resends"]["reset"]), (&json!(2), &json!(1)));
 }
 
 #[tokio::test]
