One cold budget for a node that several pools name; the example of routes runs in the kit

Need: each pool has a module of its own, so that two pools that name one node sent it two cold budgets.

--- a/crates/heathroad-rehearsal/src/cli.rs
+++ b/crates/heathroad-rehearsal/src/cli.rs
@@ -60,6 +60,9 @@
     /// Proxies before the first tier, in place of the scenario's.
     #[arg(long)]
     proxies: Option<u16>,
+    /// Give the first tier's proxies this file of routes and pools, in place of the scenario's.
+    #[arg(long)]
+    routes: Option<PathBuf>,
     /// Write the outcome as JSON to a file; - is standard output.
     #[arg(long)]
     json: Option<PathBuf>,
@@ -151,6 +154,11 @@
         }
         s.repeat.iter_mut().for_each(|r| r.at_s *= by);
     }
+    if let Some(file) = &run.routes {
+        // The daemon checks what it says.
+        let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
+        s.routes = Some(text);
+    }
     s.run.rate = run.rate.unwrap_or(s.run.rate);
     s.run.proxies = run.proxies.unwrap_or(s.run.proxies);
     s.check().map_err(|e| format!("{name}: with the command line's figures: {e}"))?;
--- a/crates/heathroad-rehearsal/tests/stage.rs
+++ b/crates/heathroad-rehearsal/tests/stage.rs
@@ -128,3 +128,31 @@
     assert_eq!(kinds.len(), 14, "{kinds:?}");
     assert!(!kinds.contains(&What::RegistryDown));
 }
+
+/// Both tiers' first proxies serve by the example of routes, while a gate dies and comes back cold and another drains:
+/// three pools name the same nodes, and together they keep each node's cold budget and its drain.
+#[test]
+fn the_example_of_routes_keeps_the_rules_as_it_stands() {
+    let example = include_str!("../../../deploy/routes.example.toml");
+    let text = PROCESSES[..PROCESSES.find("[[fault]]").expect("its faults")].to_string()
+        + "[[fault]]\nwhat = \"restart\"\non = [\"gate-1\"]\nat_s = 1.0\nfor_s = 0.3\n"
+        + "[[fault]]\nwhat = \"drain\"\non = [\"gate-2\"]\nat_s = 5.0\nfor_s = 3.0\n";
+    let text = format!("routes = \'\'\'\n{example}\'\'\'\n{text}").replace("rate = 60.0", "rate = 120.0");
+    let o = sound(&text, 4);
+    assert!(o.verdict.breaches.is_empty() && o.agrees() && o.seen.troubles.is_empty(), "{}", o.table());
+    assert!(o.verdict.tries[0] > 800, "{}", o.table());
+    let pools = |c: &heathroad_rehearsal::stage::Counted| {
+        let rows = c.counts.as_ref()?.get("requests")?.as_array()?.clone();
+        Some(
+            rows.iter()
+                .filter_map(|r| r.get("pool")?.as_str().map(String::from))
+                .collect::<std::collections::BTreeSet<_>>(),
+        )
+    };
+    let counted =
+        o.seen.counts.iter().filter(|c| o.seen.proxy_tier[usize::from(c.proxy)] == 0).filter_map(pools);
+    let all: std::collections::BTreeSet<String> = counted.flatten().collect();
+    assert_eq!(all.into_iter().collect::<Vec<_>>(), ["reads", "reads-trial", "writes"]);
+    let cold = o.seen.ledgers.lives.iter().any(|l| !l.warm) && o.verdict.tries[0] > 0;
+    assert!(cold, "a gate came back cold");
+}
--- a/crates/heathroad/src/engine.rs
+++ b/crates/heathroad/src/engine.rs
@@ -264,6 +264,11 @@
         targets.filter(|t| t.drained.get().is_none()).cloned().collect()
     }
 
+    /// So many engines send to some backend of this one's.
+    pub fn share_cold(&self, sharers: usize) {
+        self.state.borrow_mut().balancer.share_cold(sharers);
+    }
+
     /// No request will come any more. What is still out ends by itself.
     pub fn close(&self) {
         self.closed.set(true);
--- a/crates/heathroad/src/router.rs
+++ b/crates/heathroad/src/router.rs
@@ -410,6 +410,18 @@
         }
     }
 
+    /// A node that several runs send to is one node: together they keep to its cold budget.
+    fn share_cold(&self) {
+        let runs = self.present();
+        let dials: Vec<BTreeSet<SocketAddr>> =
+            runs.iter().map(|r| r.engine.targets().iter().map(|t| t.dial).collect()).collect();
+        let mut sharers: BTreeMap<SocketAddr, usize> = BTreeMap::new();
+        dials.iter().flatten().for_each(|d| *sharers.entry(*d).or_default() += 1);
+        for (run, dials) in runs.iter().zip(&dials) {
+            run.engine.share_cold(dials.iter().filter_map(|d| sharers.get(d)).copied().max().unwrap_or(1));
+        }
+    }
+
     /// Every run that is kept, or still has requests.
     fn present(&self) -> Vec<Rc<PoolRun>> {
         self.alive.borrow().iter().filter_map(|(_, run)| run.upgrade()).collect()
@@ -434,6 +446,7 @@
     fn activate(self: &Rc<Self>, generation: &Rc<Generation>) -> Result<(), String> {
         let runs = generation.config.pools.iter().map(|p| self.run(p)).collect::<Result<Vec<_>, _>>()?;
         self.current.replace(Rc::new(Active { generation: generation.clone(), runs }));
+        self.share_cold();
         Ok(())
     }
 
@@ -566,6 +579,7 @@
             }
         }
         self.handle(Event::Tick);
+        self.share_cold();
     }
 
     /// Proposes a text as a change; what is wrong with it, or what is said of it.
--- a/crates/turnshift/src/balancer.rs
+++ b/crates/turnshift/src/balancer.rs
@@ -131,6 +131,7 @@
     ask_backoff: f64,
     asking: bool,
     hold: f64,
+    sharers: f64,
 }
 
 impl Balancer {
@@ -159,6 +160,7 @@
             buckets: vec![(f64::MAX, 0.0); settings.tenants.len()],
             retry_tokens: RETRY_DEPTH,
             ask_backoff: 1.0,
+            sharers: 1.0,
             // One for all classes: in a full queue the longer hold would take every slot of its slice.
             hold: HOLD[settings.tier.min(1) as usize]
                 * settings.classes.iter().map(|c| c.aim).fold(f64::MAX, f64::min),
@@ -210,6 +212,11 @@
         Load { limit, in_flight: self.inflight, slices: self.slices.iter().map(slice).collect() }
     }
 
+    /// So many balancers of one proxy send to some backend of this one's: each keeps to its part of the cold budget.
+    pub fn share_cold(&mut self, sharers: usize) {
+        self.sharers = sharers.max(1) as f64;
+    }
+
     fn period(&self) -> f64 {
         (self.s.tick * HOUSE_TICKS).max(1.0)
     }
@@ -686,7 +693,7 @@
         self.free_held(now, true, out);
         // Cold budgets grow with what this copy's backends prove to bear, at the warmth surely reached.
         let warm: f64 = self.subset.iter().map(|i| self.backends[i].warmth(&self.s.rules, now)).sum();
-        let margin = COLD_MARGIN * self.s.rules.fall_multiple.min(1.0);
+        let margin = COLD_MARGIN * self.s.rules.fall_multiple.min(1.0) / self.sharers;
         let each = self.limiter.rate / warm.max(1.0) * margin * passed;
         let mut hung = Vec::new();
         for id in &self.subset {
--- a/crates/turnshift/tests/decisions.rs
+++ b/crates/turnshift/tests/decisions.rs
@@ -569,3 +569,24 @@
     p.advance(p.now + 150.0);
     assert!(fill(&mut p, 0, 0, 400) >= 2 * first, "six means: {} calls out, {first} at first", p.out().len());
 }
+
+/// A backend that several balancers of one proxy send to is one backend: each keeps to its part of the budget.
+#[test]
+fn a_cold_budget_is_shared_by_the_balancers_of_one_proxy() {
+    let sent_cold = |sharers| {
+        let cold = Entry { started_at: 1000.0, ..entry(1) };
+        let mut p = Proxy::new(plain(1), 1, [vec![cold], entries(10)[1..].to_vec()].concat());
+        p.balancer.share_cold(sharers);
+        let mut sent = 0;
+        for _ in 0..100 {
+            fill(&mut p, 0, 0, 30);
+            p.advance(p.now + 50.0);
+            sent += p.out().iter().filter(|(_, _, s)| s.backend == 1).count();
+            p.out().into_iter().for_each(|(id, n, _)| p.resolve(id, n, Outcome::Ok));
+            p.forget();
+        }
+        sent as f64
+    };
+    let (alone, shared) = (sent_cold(1), sent_cold(4));
+    assert!(alone > 15.0 && shared > 2.0 && shared < 0.4 * alone, "{alone} alone, {shared} as one of four");
+}
