--- a/crates/turnshift/src/balancer.rs
+++ b/crates/turnshift/src/balancer.rs
@@ -212,7 +212,8 @@
         Load { limit, in_flight: self.inflight, slices: self.slices.iter().map(slice).collect() }
     }
 
-    /// So many balancers of one proxy send to some backend of this one's: each keeps to its part of the cold budget.
+    /// So many balancers of one proxy send to some backend of this one's: each keeps to its part of the
+    /// cold budget.
     pub fn share_cold(&mut self, sharers: usize) {
         self.sharers = sharers.max(1) as f64;
     }
