--- a/crates/heathroad-rehearsal/tests/cli.rs
+++ b/crates/heathroad-rehearsal/tests/cli.rs
@@ -144,6 +144,25 @@
     assert!(left.is_empty(), "{left:?}");
 }
 
+/// Out of descriptors, neither the driver nor the stand-ins can vouch for anything: void, whatever else was seen.
+#[test]
+fn a_rehearsal_that_runs_out_of_descriptors_is_void() {
+    let out = Command::new("/bin/sh")
+        .args(["-c", "ulimit -Sn 110 && exec \"$0\" short --seconds 3 --rate 600 --heathroad \"$1\""])
+        .arg(env!("CARGO_BIN_EXE_heathroad-rehearse"))
+        .arg(common::daemon())
+        .env("TMPDIR", env!("CARGO_TARGET_TMPDIR"))
+        .stdin(Stdio::null())
+        .output()
+        .expect("it starts");
+    let said = String::from_utf8_lossy(&[out.stdout, out.stderr].concat()).into_owned();
+    assert_eq!(out.status.code(), Some(3), "{said}");
+    assert!(
+        said.contains("descriptors ran out at the driver or the stand-ins") && said.contains("no verdict"),
+        "{said}"
+    );
+}
+
 /// The short rehearsal that continuous integration runs, as a user runs it.
 #[test]
 fn a_short_rehearsal_keeps_all_rules_and_says_so() {
--- a/crates/heathroad/tests/routes.rs
+++ b/crates/heathroad/tests/routes.rs
@@ -406,3 +406,59 @@
     discovery.tell(lines.to_vec()).await;
     soon(async { while s.proxy.call("once").await != (200, "a".into()) {} }).await;
 }
+
+/// A class turns from safe to unsafe while a call of it is out: that call is sent again as when it was taken, and one
+/// that is taken after the change is not.
+#[tokio::test]
+async fn calls_that_are_out_keep_the_effect_that_their_class_had() {
+    let (orders, a, b) = two_backends().await;
+    let both = [a.addr, b.addr];
+    let safe = pool("p", &both) + &route("all", "", "p");
+    let unsafe_now = safe.replacen("effect = \"safe\"", "effect = \"unsafe\"", 1);
+    assert_ne!(safe, unsafe_now);
+    let s = scene(&safe, 20, |_| {}).await;
+    let release = Arc::new(Notify::new());
+    let hold = async |call: Request<Full<bytes::Bytes>>| {
+        let before = orders.seen.borrow().len();
+        orders.give([Do::Hold(release.clone())]);
+        let mut caller = s.proxy.caller().await;
+        let held = tokio::spawn(async move { caller.send(call).await });
+        orders.came(before + 1).await;
+        let went = orders.seen.borrow()[before].0;
+        (held, if went == "a" { (&a, "b") } else { (&b, "a") })
+    };
+    let (held, (went, other)) = hold(request("look").body(Full::default()).expect("well formed")).await;
+    s.apply(&unsafe_now).await;
+    s.stands(2).await;
+    went.break_all().await;
+    assert_eq!(held.await.expect("no panic"), (200, other.into()), "it was safe when it was taken");
+    let post = request("look").method("POST").header("content-length", "0").body(Full::default());
+    let (held, (went, _)) = hold(post.expect("well formed")).await;
+    went.break_all().await;
+    assert_eq!(held.await.expect("no panic").0, 502, "it may have run, and is unsafe by now");
+}
+
+/// A planned stop meets a change on probation: all that was taken is answered, and a start begins with what stood.
+#[tokio::test]
+async fn a_planned_stop_on_probation_commits_nothing() {
+    let (orders, a, b) = two_backends().await;
+    let text = |to: SocketAddr| pool("p", &[to]) + &route("all", "", "p");
+    let folder = name();
+    std::fs::create_dir(&folder).expect("the folder for tests takes a folder");
+    let state = folder.to_str().expect("text").to_string();
+    let mut s = scene(&text(a.addr), 60_000, |c| c["state"] = state.clone().into()).await;
+    s.apply(&text(b.addr)).await;
+    let release = Arc::new(Notify::new());
+    orders.give([Do::Hold(release.clone())]);
+    let mut caller = s.proxy.caller().await;
+    let held = tokio::spawn(async move { caller.call("once").await });
+    orders.came(1).await;
+    s.proxy.terminate().await;
+    assert_eq!(s.ask("POST", "/config/apply", &text(a.addr)).await.0, 409, "nothing new is begun");
+    release.notify_one();
+    assert_eq!(held.await.expect("no panic"), (200, "b".into()));
+    assert!(s.proxy.ended().await.success());
+    let (proxy, _) =
+        Proxy::start_and_hear(&s.config, "generation 2 was on probation and is not started").await;
+    soon(async { while proxy.call("once").await != (200, "a".into()) {} }).await;
+}
