A test that requests of an older generation keep drains

Need: a request that a change has left behind still gets its second try in its own generation, and the drains told since must hold there too; nothing showed it.

Change: a test with a held request, a change that is committed, a drain of its other backend, and a break.

Measured: it passes, and fails where only the pools in force hear of the registry.

--- a/crates/heathroad/tests/routes.rs
+++ b/crates/heathroad/tests/routes.rs
@@ -462,3 +462,32 @@
         Proxy::start_and_hear(&s.config, "generation 2 was on probation and is not started").await;
     soon(async { while proxy.call("once").await != (200, "a".into()) {} }).await;
 }
+
+/// A request that is bound to an older generation hears of drains as others do: its second try does not go to a node
+/// that drained since.
+#[tokio::test]
+async fn a_drain_is_kept_by_requests_of_an_older_generation() {
+    let (orders, a, b) = two_backends().await;
+    let others = Arc::new(Orders::default());
+    let c = Backend::start("c", &others).await;
+    let discovery = Discovery::start(vec![a.line("SERVING"), b.line("SERVING")]).await;
+    let classes = |text: String| text[text.find("[[pool.class]]").expect("classes")..].to_string();
+    let old = "[[pool]]\nname = \"p\"\nregistry = \"default\"\n".to_string() + &classes(pool("x", &[a.addr]));
+    let old = old + &route("all", "", "p");
+    let new = pool("p", &[c.addr]) + &route("all", "", "p");
+    let s = scene(&old, 20, |c| c["discovery"] = discovery.config(settings())["discovery"].clone()).await;
+    discovery.settled().await;
+    orders.give([Do::Hold(Arc::new(Notify::new()))]);
+    let mut caller = s.proxy.caller().await;
+    let held = tokio::spawn(async move { caller.call("look").await });
+    orders.came(1).await;
+    let went = orders.seen.borrow()[0].0;
+    s.apply(&new).await;
+    s.stands(2).await;
+    let (at, drains) = if went == "a" { (&a, &b) } else { (&b, &a) };
+    discovery.tell(vec![at.line("SERVING"), drains.line("DRAINING")]).await;
+    at.break_all().await;
+    assert_ne!(held.await.expect("no panic").0, 200, "its other backend drains");
+    assert_eq!(orders.by(drains.name), 0);
+    assert_eq!(s.proxy.call("look").await, (200, "c".into()));
+}
