--- a/crates/heathroad-routing/src/file.rs
+++ b/crates/heathroad-routing/src/file.rs
@@ -5,18 +5,17 @@
 
 pub use rpc::{Listener, Method, Rpc, TenantFrom};
 
-use crate::fault::{Fault, Faults};
+use crate::fault::Faults;
+use crate::reader::{self, Lines, Section, kind};
 use crate::split::Share;
 use crate::table::Match;
 use serde::Serialize;
-use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use toml::Spanned;
-use toml::de::{DeTable, DeValue};
+use toml::de::DeValue;
 
-/// Most bytes of a file.
-pub const MAX_BYTES: usize = 16 << 20;
+pub use reader::MAX_BYTES;
 /// Most routes.
 pub const MAX_ROUTES: usize = 100_000;
 /// Most pools.
@@ -136,86 +135,20 @@
 
 /// Reads and checks a file's text. `file` is its name in messages.
 pub fn read(file: &str, text: &str) -> Result<Config, Faults> {
-    let ends = text.bytes().enumerate().filter(|(_, b)| *b == b'\n').map(|(at, _)| at).collect();
-    let lines = Lines { text, ends, list: RefCell::default() };
-    let config = lines.config();
-    let mut list = lines.list.into_inner();
-    if list.is_empty()
-        && let Some(config) = config
-    {
-        return Ok(config);
-    }
-    list.sort();
-    list.dedup();
-    Err(Faults { file: file.to_string(), list })
-}
-
-struct Lines<'a> {
-    text: &'a str,
-    /// Where lines end.
-    ends: Vec<usize>,
-    list: RefCell<Vec<Fault>>,
-}
-
-/// A table of the file, and which of its fields were asked for.
-struct Section<'a, 't> {
-    lines: &'a Lines<'a>,
-    table: &'t DeTable<'t>,
-    at: usize,
-    path: String,
-    known: RefCell<BTreeSet<&'static str>>,
+    reader::read(file, text, |lines, root| lines.config(root))
 }
 
 impl<'a> Lines<'a> {
-    fn line(&self, at: usize) -> usize {
-        1 + self.ends.partition_point(|end| *end < at)
-    }
-
-    /// Where a line starts.
-    fn start(&self, line: usize) -> usize {
-        line.checked_sub(2).and_then(|l| self.ends.get(l)).map_or(0, |end| end + 1)
-    }
-
-    fn fault(
-        &self,
-        at: usize,
-        field: impl Into<String>,
-        reason: impl Into<String>,
-        expected: impl Into<String>,
-    ) {
-        let line = self.line(at);
-        let (field, reason, expected) = (field.into(), reason.into(), expected.into());
-        self.list.borrow_mut().push(Fault { line, field, reason, expected });
-    }
-
-    fn config(&self) -> Option<Config> {
-        if self.text.len() > MAX_BYTES {
-            self.fault(0, "file", format!("{} bytes", self.text.len()), format!("{MAX_BYTES} at most"));
-            return None;
-        }
-        let (table, errors) = DeTable::parse_recoverable(self.text);
-        for e in errors {
-            let at = e.span().map_or(0, |s| s.start);
-            self.fault(at, "file", e.message().replace('\n', " "), "TOML 1.0");
-        }
-        if !self.list.borrow().is_empty() {
-            return None;
-        }
-        let root = self.section(table.get_ref(), 0, String::new());
+    fn config(&'a self, root: &Section<'a, '_>) -> Config {
         let tenants = root.texts("tenants");
-        let pools = self.pools(&root);
+        let pools = self.pools(root);
         let names: Vec<String> = pools.iter().map(|(p, _)| p.name.clone()).collect();
-        let routes = self.routes(&root, &pools, &names, &tenants);
-        let listeners = self.listeners(&root, &pools, &tenants);
+        let routes = self.routes(root, &pools, &names, &tenants);
+        let listeners = self.listeners(root, &pools, &tenants);
         self.listened(&routes, &listeners, &pools);
-        root.end();
         self.members(&pools);
         let pools = pools.into_iter().map(|(p, _)| p).collect();
-        Some(Config { tenants, pools, routes, listeners })
-    }
-
-    fn section<'t>(&'a self, table: &'t DeTable<'t>, at: usize, path: String) -> Section<'a, 't> {
-        Section { lines: self, table, at, path, known: RefCell::default() }
+        Config { tenants, pools, routes, listeners }
     }
 
     fn pools(&'a self, root: &Section<'a, '_>) -> Vec<(Pool, usize)> {
@@ -318,166 +251,7 @@
     }
 }
 
-impl<'a, 't> Section<'a, 't> {
-    fn field(&self, name: &str) -> String {
-        if self.path.is_empty() { name.to_string() } else { format!("{}.{name}", self.path) }
-    }
-
-    fn wrong(&self, value: &Spanned<DeValue<'_>>, name: &str, reason: impl Into<String>, expected: &str) {
-        self.lines.fault(value.span().start, self.field(name), reason, expected);
-    }
-
-    fn get(&self, name: &'static str) -> Option<&'t Spanned<DeValue<'t>>> {
-        self.known.borrow_mut().insert(name);
-        self.table.iter().find(|(k, _)| k.get_ref().as_ref() == name).map(|(_, v)| v)
-    }
-
-    /// Every field that nobody asked for is unknown.
-    fn end(&self) {
-        let known = self.known.borrow();
-        for (key, _) in self.table.iter().filter(|(k, _)| !known.contains(k.get_ref().as_ref())) {
-            let list: Vec<&str> = known.iter().copied().collect();
-            let field = self.field(key.get_ref());
-            self.lines.fault(key.span().start, field, "unknown field", format!("one of {}", list.join(", ")));
-        }
-    }
-
-    fn missing(&self, name: &str, expected: &str) {
-        self.lines.fault(self.at, self.field(name), "is missing", expected);
-    }
-
-    fn text(&self, name: &'static str) -> Option<String> {
-        let value = self.get(name)?;
-        match value.get_ref().as_str() {
-            Some(text) if !text.is_empty() => Some(text.to_string()),
-            _ => {
-                self.wrong(value, name, format!("is {}", kind(value.get_ref())), "a text that is not empty");
-                None
-            }
-        }
-    }
-
-    fn texts(&self, name: &'static str) -> Vec<String> {
-        let Some(value) = self.get(name) else { return Vec::new() };
-        let Some(array) = value.get_ref().as_array() else {
-            self.wrong(value, name, format!("is {}", kind(value.get_ref())), "a list of texts");
-            return Vec::new();
-        };
-        let mut texts: Vec<String> = Vec::new();
-        for item in array.iter() {
-            match item.get_ref().as_str() {
-                Some(text) if texts.iter().any(|t| t == text) => {
-                    self.wrong(item, name, format!("{text:?} comes twice"), "each once");
-                }
-                Some(text) if !text.is_empty() => texts.push(text.to_string()),
-                _ => self.wrong(
-                    item,
-                    name,
-                    format!("holds {}", kind(item.get_ref())),
-                    "texts that are not empty",
-                ),
-            }
-        }
-        texts
-    }
-
-    fn number(&self, name: &'static str, low: f64, high: f64) -> Option<f64> {
-        let value = self.get(name)?;
-        let number = match value.get_ref() {
-            DeValue::Integer(i) => i64::from_str_radix(i.as_str(), i.radix()).ok().map(|i| i as f64),
-            DeValue::Float(f) => f.as_str().parse().ok(),
-            _ => None,
-        };
-        match number {
-            Some(x) if x >= low && x <= high => Some(x),
-            Some(x) => {
-                self.wrong(value, name, format!("is {x}"), &format!("a number from {low} to {high}"));
-                None
-            }
-            None => {
-                let expected = format!("a number from {low} to {high}");
-                self.wrong(value, name, format!("is {}", kind(value.get_ref())), &expected);
-                None
-            }
-        }
-    }
-
-    fn must(&self, name: &'static str, low: f64, high: f64) -> f64 {
-        if self.get(name).is_none() {
-            self.missing(name, &format!("a number from {low} to {high}"));
-        }
-        self.number(name, low, high).unwrap_or(low)
-    }
-
-    fn whole(&self, name: &'static str, low: u32, high: u32) -> Option<u32> {
-        let x = self.number(name, f64::from(low), f64::from(high))?;
-        if x.fract() != 0.0
-            && let Some(value) = self.get(name)
-        {
-            self.wrong(value, name, format!("is {x}"), "a whole number");
-        }
-        Some(x as u32)
-    }
-
-    fn sections(&self, name: &'static str, most: usize) -> Vec<Section<'a, 't>> {
-        let Some(value) = self.get(name) else { return Vec::new() };
-        let Some(array) = value.get_ref().as_array() else {
-            self.wrong(value, name, format!("is {}", kind(value.get_ref())), "a list of tables");
-            return Vec::new();
-        };
-        if array.len() > most {
-            self.wrong(value, name, format!("has {} entries", array.len()), &format!("{most} at most"));
-            return Vec::new();
-        }
-        let mut sections = Vec::new();
-        for (i, item) in array.iter().enumerate() {
-            match item.get_ref().as_table() {
-                Some(table) => {
-                    let path = format!("{}[{i}]", self.field(name));
-                    sections.push(self.lines.section(table, item.span().start, path));
-                }
-                None => self.wrong(item, name, format!("holds {}", kind(item.get_ref())), "tables"),
-            }
-        }
-        sections
-    }
-
-    /// One of some words; the first one where there is none.
-    fn choice<T: Copy>(&self, name: &'static str, words: &[(&str, T)], expected: &str) -> T {
-        let text = self.text(name);
-        let chosen = text.as_deref().map(|t| words.iter().find(|(word, _)| *word == t));
-        if let (Some(None), Some(other)) = (chosen, &text) {
-            self.lines.fault(self.at, self.field(name), format!("is {other:?}"), expected);
-        }
-        chosen.flatten().unwrap_or(&words[0]).1
-    }
-
-    /// A name that is nobody else's.
-    fn name(&self, seen: &mut BTreeMap<String, usize>) -> String {
-        let Some(name) = self.text("name") else {
-            if self.get("name").is_none() {
-                self.missing("name", "a text that is not empty");
-            }
-            return String::new();
-        };
-        let line = self.lines.line(self.at);
-        if let Some(first) = seen.insert(name.clone(), line) {
-            let reason = format!("{name:?} is a name of line {first} too");
-            self.lines.fault(self.at, self.field("name"), reason, "a name of its own");
-        }
-        name
-    }
-
-    fn address(&self, value: &Spanned<DeValue<'_>>, name: &str) -> Option<SocketAddr> {
-        let text = value.get_ref().as_str();
-        let address = text.and_then(|t| t.parse().ok());
-        if address.is_none() {
-            let is = text.map_or_else(|| kind(value.get_ref()).to_string(), |t| format!("{t:?}"));
-            self.wrong(value, name, format!("is {is}"), "an address and port, such as 10.1.0.18:9000");
-        }
-        address
-    }
-
+impl<'t> Section<'_, 't> {
     fn source(&self) -> Source {
         let (list, registry, select) = (self.get("backends"), self.get("registry"), self.get("select"));
         match (list, registry.or(select)) {
@@ -604,7 +378,8 @@
         Class { name, effect, aim_ms, deadline_ms, worth }
     }
 
-    fn when(&self) -> Match {
+    /// The conditions that a route has, and whatever else is about some requests only.
+    pub fn when(&self) -> Match {
         let path = self.text("path");
         if let Some(p) = path.as_ref().filter(|p| !p.starts_with('/') || p.contains("/*/") || p.contains('?'))
         {
@@ -700,15 +475,3 @@
         }
     }
 }
-
-fn kind(value: &DeValue<'_>) -> &'static str {
-    match value {
-        DeValue::String(s) if s.is_empty() => "an empty text",
-        DeValue::String(_) => "a text",
-        DeValue::Integer(_) | DeValue::Float(_) => "a number",
-        DeValue::Boolean(_) => "true or false",
-        DeValue::Datetime(_) => "a date",
-        DeValue::Array(_) => "a list",
-        DeValue::Table(_) => "a table",
-    }
-}
--- a/crates/heathroad-routing/src/file/rpc.rs
+++ b/crates/heathroad-routing/src/file/rpc.rs
@@ -1,6 +1,7 @@
 //! What a file says of JSON-RPC: where calls come in, what their methods are, and how pools' backends speak it.
 
-use super::{Effect, Lines, MAX_MS, Pool, Route, Section, kind};
+use super::{Effect, MAX_MS, Pool, Route};
+use crate::reader::{Lines, Section, kind};
 use heathroad_jsonrpc::{Framing, Pointer};
 use serde::Serialize;
 use std::collections::{BTreeMap, HashMap};
@@ -195,12 +196,7 @@
 
     /// A pool's `[pool.rpc]`.
     pub(super) fn rpc(&self) -> Option<Rpc> {
-        let value = self.get("rpc")?;
-        let Some(table) = value.get_ref().as_table() else {
-            self.wrong(value, "rpc", format!("is {}", kind(value.get_ref())), "a table");
-            return None;
-        };
-        let s = self.lines.section(table, value.span().start, self.field("rpc"));
+        let s = self.table("rpc")?;
         let rpc = Rpc {
             port: s.whole("port", 1, u32::from(u16::MAX)).map(|p| p as u16),
             framing: s.framing(),
--- a/crates/heathroad-routing/src/lib.rs
+++ b/crates/heathroad-routing/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod harm;
 pub mod journal;
 pub mod nodes;
+pub mod reader;
 pub mod split;
 pub mod table;
 pub mod transaction;
--- a/crates/heathroad-routing/src/table.rs
+++ b/crates/heathroad-routing/src/table.rs
@@ -131,13 +131,18 @@
 
     /// What of this match a shape that is no more specific looks at.
     fn under(&self, shape: &Shape) -> Option<u64> {
+        self.sample(|request| shape.key(request))
+    }
+
+    /// A request that fulfils the conditions and has nothing beside.
+    fn sample<T>(&self, look: impl FnOnce(&Request<'_>) -> T) -> T {
         let own = |name: &Option<String>| name.clone().unwrap_or_default();
         // A wildcard host has one label more than it names.
         let host = self.host.as_deref().map(|h| h.replace('*', "x")).unwrap_or_default();
         let path = self.path.as_deref().map(|p| p.strip_suffix("/*").unwrap_or(p)).unwrap_or_default();
         let value = self.header.as_ref().map(|(_, v)| v.as_str());
-        let header = |_: &str| value;
-        shape.key(&Request {
+        let header = |name: &str| value.filter(|_| self.header.as_ref().is_some_and(|(n, _)| n == name));
+        look(&Request {
             listener: &own(&self.listener),
             host: &host,
             path,
@@ -348,6 +353,21 @@
         })
     }
 
+    /// For each route the place of the narrowest other one that matches all that it matches. The routes of a checked
+    /// configuration are nested or apart: two that only overlap are a clash.
+    pub fn outer(&self) -> Vec<Option<usize>> {
+        let outer = |route: &Route| {
+            let own = route.when.shape();
+            // They are tried from the most specific on.
+            self.shapes.iter().filter(|(s, _)| *s != own && s.meet(&own) == *s).find_map(|(shape, routes)| {
+                let found = routes.get(&route.when.under(shape)?)?;
+                let around = |i: &&u32| route.when.sample(|r| self.routes[**i as usize].when.matches(r));
+                found.iter().find(around).map(|i| *i as usize)
+            })
+        };
+        self.routes.iter().map(outer).collect()
+    }
+
     /// Where a request with a key goes by a route; `key` is what keeps together what belongs together.
     pub fn share(&self, route: &Route, key: u64) -> Option<usize> {
         split::pick(&route.to, &self.pools, key).map(|s: &Share| s.pool)
