The daemon turns down changes that break what is expected; expect and drains on its command line

Need: expectations are of use when a change can't pass them, as nodes stand at the instant it is applied.

Change: `expectations` in the daemon's file names them. A proposal is judged when it comes, on a thread of its own, and again last before it is applied, by the nodes that registries then tell; what is heard meanwhile has it judged anew. An undo is never judged. `heathroad expect` and `heathroad drains` do the same without a daemon, or with a daemon's nodes (--live); /config/expect and /config/nodes at the admin address.

--- a/crates/heathroad-expect/src/judge.rs
+++ b/crates/heathroad-expect/src/judge.rs
@@ -7,7 +7,9 @@
 use crate::space::{Region, Space};
 use heathroad_routing::file::{Class, Effect, Pool, Source};
 use heathroad_routing::generation::Generation;
+use heathroad_routing::split::Share;
 use serde::Serialize;
+use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
 
@@ -67,6 +69,8 @@
     pub expected: String,
     /// Further requests by route, class and pool that break it.
     pub others: usize,
+    /// It is not known to be broken: what it rests on is not known here.
+    pub open: bool,
 }
 
 impl Report {
@@ -77,8 +81,17 @@
 
     /// A line for each that fails.
     pub fn failures(&self) -> Vec<String> {
+        self.lines(|_| true)
+    }
+
+    /// A line for each that is known to fail, whatever nodes registries tell.
+    pub fn known(&self) -> Vec<String> {
+        self.lines(|f| !f.open)
+    }
+
+    fn lines(&self, of: impl Fn(&Failure) -> bool) -> Vec<String> {
         let line = |v: &Verdict| {
-            let failure = v.failure.as_ref()?;
+            let failure = v.failure.as_ref().filter(|f| of(f))?;
             Some(format!("{}:{}: {:?}: {failure}", self.file, v.line, v.name))
         };
         self.verdicts.iter().filter_map(line).collect()
@@ -111,22 +124,27 @@
 }
 
 /// What is wrong in a place, before the request is made small.
+#[derive(Clone)]
 struct Wrong {
+    open: bool,
     lost: Vec<String>,
     found: String,
     expected: String,
 }
 
+/// What is wrong, and in which of the states.
+type Broken = Option<(usize, Wrong)>;
+
 fn wrong(found: impl Into<String>, expected: impl Into<String>) -> Option<Wrong> {
-    Some(Wrong { lost: Vec::new(), found: found.into(), expected: expected.into() })
+    Some(Wrong { open: false, lost: Vec::new(), found: found.into(), expected: expected.into() })
 }
 
 /// Requests of one class that go by one route to one pool.
 struct Case<'r> {
     taken: &'r Taken<'r>,
     class: &'r str,
-    /// The pool, if any, and the part of the route's requests that it gets.
-    pool: Option<(&'r Pool, f64)>,
+    /// The pool, if any: its place and what it is.
+    pool: Option<(usize, &'r Pool)>,
     /// The class as the pool serves it.
     as_served: Option<&'r Class>,
 }
@@ -170,6 +188,7 @@
             found,
             expected: expected.into(),
             others: 0,
+            open: false,
         };
         let (mut cases, mut failure) = (0, self.dangling(e).map(|(found, expected)| plain(found, &expected)));
         if failure.is_none() {
@@ -182,17 +201,24 @@
             let now = State::default();
             let states: Vec<&State> =
                 [&now].into_iter().chain(e.states.iter().map(|s| &self.states[*s])).collect();
+            // But for shares, what breaks an expectation is a matter of pool and class, and not of the route.
+            let mut seen: HashMap<(Option<usize>, &str), Broken> = HashMap::new();
             for (class, taken) in &taken {
                 for case in self.cases(class, taken) {
                     cases += 1;
-                    let broken = states.iter().find_map(|s| Some((s, self.breaks(e, &case, s)?)));
-                    match (broken, &mut failure) {
-                        (None, _) => {}
-                        (Some(_), Some(first)) => first.others += 1,
-                        (Some((state, wrong)), None) => {
+                    let look = || {
+                        let each = states.iter().enumerate();
+                        each.filter_map(|(n, s)| Some((n, self.breaks(e, &case, s)?))).next()
+                    };
+                    let by_pool = seen.entry((case.pool.map(|(place, _)| place), class)).or_insert_with(look);
+                    let by_route = self.shares(e, &case).map(|wrong| (0, wrong));
+                    let Some((state, wrong)) = by_pool.clone().or(by_route) else { continue };
+                    match &mut failure {
+                        Some(first) => first.others += 1,
+                        None => {
                             let request = case.taken.smallest(self.space)?;
                             let mut told = self.tell(&case, &request, wrong);
-                            told.state = Some(state.name.clone()).filter(|n| !n.is_empty());
+                            told.state = Some(states[state].name.clone()).filter(|n| !n.is_empty());
                             failure = Some(told);
                         }
                     }
@@ -240,12 +266,11 @@
         let Some(route) = taken.route.map(|r| &self.generation.config.routes[r]) else {
             return vec![Case { taken, class, pool: None, as_served: None }];
         };
-        let all: f64 = route.to.iter().map(|s| s.weight).sum();
         let gets = route.to.iter().filter(|s| s.weight > 0.0);
         gets.map(|share| {
             let pool = &self.generation.config.pools[share.pool];
             let as_served = pool.classes.iter().find(|c| c.name == class);
-            Case { taken, class, pool: Some((pool, share.weight / all)), as_served }
+            Case { taken, class, pool: Some((share.pool, pool)), as_served }
         })
         .collect()
     }
@@ -258,7 +283,7 @@
         Failure {
             request: Some(self.space.words(request)),
             route: route.map(|r| (r.name.clone(), r.line)),
-            pool: case.pool.map(|(p, _)| p.name.clone()),
+            pool: case.pool.map(|(_, p)| p.name.clone()),
             state: None,
             lost: wrong.lost,
             found: if agree {
@@ -268,6 +293,7 @@
             },
             expected: wrong.expected,
             others: 0,
+            open: wrong.open,
         }
     }
 
@@ -284,13 +310,14 @@
                 (Some(_), None) => {
                     wrong(format!("class {:?} is not served there", case.class), "it to be served")
                 }
-                (_, Some(((pool, _), _))) => {
+                (_, Some(((place, pool), _))) => {
                     let idle = *state == State::default() && e.loss.is_none();
-                    match self.spared(pool, state) {
+                    match self.spared(place, state) {
                         None if idle => None,
                         None => unknown(pool),
                         Some(own) => match nodes::left(&own, e.loss) {
                             (0, lost) => Some(Wrong {
+                                open: false,
                                 lost,
                                 found: "no node takes new work".into(),
                                 expected: "it to be served".into(),
@@ -302,10 +329,10 @@
             },
             Demand::Served(false) => served.and_then(|_| wrong("it is served", "it to be turned down")),
             _ => {
-                let ((pool, part), class) = served?;
+                let ((place, pool), class) = served?;
                 match demand {
-                    Demand::Only(places) => self.only(places, pool, state),
-                    Demand::Never(places) => self.never(places, pool, state),
+                    Demand::Only(places) => self.only(places, (place, pool), state),
+                    Demand::Never(places) => self.never(places, (place, pool), state),
                     Demand::Again(most) => again(*most, class.effect),
                     Demand::Group(group) => match class.effect {
                         Effect::Keyed { group: is, .. } if is == *group => None,
@@ -314,43 +341,43 @@
                             format!("it to be keyed in the group {group:?}").to_lowercase(),
                         ),
                     },
-                    Demand::Share { pool: name, within } => {
-                        // Once for each route: at the pool that is named, or where it gets nothing.
-                        let gets = self.share(case, name);
-                        let own = pool.name == *name || gets == 0.0 && part > 0.0;
-                        let found = format!("pool {name:?} gets a share of {gets:.4}");
-                        (own && !within.holds(gets)).then(|| Wrong {
-                            lost: Vec::new(),
-                            found,
-                            expected: within.words(),
-                        })
+                    Demand::Figure(figure, bound) => {
+                        self.figure(e, *figure, bound, (place, pool), class, state)
                     }
-                    Demand::Figure(figure, bound) => self.figure(e, *figure, bound, pool, class, state),
-                    Demand::Served(_) => None,
+                    Demand::Served(_) | Demand::Share { .. } => None,
                 }
             }
         }
     }
 
-    fn share(&self, case: &Case<'_>, pool: &str) -> f64 {
-        let Some(route) = case.taken.route.map(|r| &self.generation.config.routes[r]) else { return 0.0 };
+    /// Shares of a route's requests that are out of bounds, once for each route: at the pool that is named, or where that
+    /// gets nothing.
+    fn shares(&self, e: &Expectation, case: &Case<'_>) -> Option<Wrong> {
+        let (_, own) = case.pool?;
+        let route = &self.generation.config.routes[case.taken.route?];
         let all: f64 = route.to.iter().map(|s| s.weight).sum();
-        let named = |p: usize| self.generation.config.pools[p].name == pool;
-        route.to.iter().filter(|s| named(s.pool)).map(|s| s.weight / all).sum()
+        e.demands.iter().find_map(|demand| {
+            let Demand::Share { pool, within } = demand else { return None };
+            let named = |s: &&Share| self.generation.config.pools[s.pool].name == *pool;
+            let gets: f64 = route.to.iter().filter(named).map(|s| s.weight / all).sum();
+            if own.name != *pool && gets > 0.0 || within.holds(gets) {
+                return None;
+            }
+            wrong(format!("pool {pool:?} gets a share of {gets:.4}"), within.words())
+        })
     }
 
     /// A pool's nodes that take new work in a state, where they are known.
-    fn spared(&self, pool: &Pool, state: &State) -> Option<Vec<&Node>> {
-        let place = self.generation.config.pools.iter().position(|p| p.name == pool.name)?;
-        Some(self.pools[place].as_ref()?.iter().filter(|n| state.spares(n)).collect())
+    fn spared(&self, pool: usize, state: &State) -> Option<Vec<&Node>> {
+        Some(self.pools[pool].as_ref()?.iter().filter(|n| state.spares(n)).collect())
     }
 
-    fn only(&self, places: &Places, pool: &Pool, state: &State) -> Option<Wrong> {
+    fn only(&self, places: &Places, (place, pool): (usize, &Pool), state: &State) -> Option<Wrong> {
         if !places.pools.is_empty() && !places.pools.contains(&pool.name) {
             let found = format!("it goes to pool {:?}", pool.name);
             return wrong(found, format!("only {}", places.pools.join(", ")));
         }
-        let Some(own) = self.spared(pool, state) else {
+        let Some(own) = self.spared(place, state) else {
             // What a registry will tell is bound by the labels that are asked of it.
             let bound = |label: &str, listed: &[String]| listed.is_empty() || selected(pool, label, listed);
             let blocks: Vec<String> = places.blocks.iter().map(u16::to_string).collect();
@@ -368,19 +395,19 @@
             if within {
                 None
             } else {
-                wrong(format!("it may reach {}", place(n)), format!("only {}", words(places)))
+                wrong(format!("it may reach {}", stands(n)), format!("only {}", words(places)))
             }
         })
     }
 
-    fn never(&self, places: &Places, pool: &Pool, state: &State) -> Option<Wrong> {
+    fn never(&self, places: &Places, (place, pool): (usize, &Pool), state: &State) -> Option<Wrong> {
         if places.pools.contains(&pool.name) {
             return wrong(
                 format!("it goes to pool {:?}", pool.name),
                 format!("never {}", places.pools.join(", ")),
             );
         }
-        let Some(own) = self.spared(pool, state) else {
+        let Some(own) = self.spared(place, state) else {
             let apart =
                 |label: &str, listed: &[String]| listed.is_empty() || selected_beside(pool, label, listed);
             let blocks: Vec<String> = places.blocks.iter().map(u16::to_string).collect();
@@ -396,7 +423,7 @@
                 || places.blocks.contains(&n.block)
                 || places.kinds.contains(&n.class);
             if named {
-                wrong(format!("it may reach {}", place(n)), format!("never {}", words(places)))
+                wrong(format!("it may reach {}", stands(n)), format!("never {}", words(places)))
             } else {
                 None
             }
@@ -408,7 +435,7 @@
         e: &Expectation,
         figure: Figure,
         bound: &Bound,
-        pool: &Pool,
+        (place, pool): (usize, &Pool),
         class: &Class,
         state: &State,
     ) -> Option<Wrong> {
@@ -432,14 +459,14 @@
                 Effect::Keyed { window_ms, .. } => Ok((window_ms, Vec::new())),
                 other => Err(wrong(format!("it is {}", effect(other)), "it to be keyed")),
             },
-            Figure::Nodes => match self.spared(pool, state) {
+            Figure::Nodes => match self.spared(place, state) {
                 Some(own) => {
                     let (left, lost) = nodes::left(&own, e.loss);
                     Ok((left as f64, lost))
                 }
                 None => Err(unknown(pool)),
             },
-            Figure::Mates => match (class.effect, self.spared(pool, state)) {
+            Figure::Mates => match (class.effect, self.spared(place, state)) {
                 (Effect::Keyed { group, .. }, Some(own)) => {
                     let (left, lost) = nodes::mates(&own, group, e.loss).unwrap_or_default();
                     Ok((left as f64, lost))
@@ -454,6 +481,7 @@
         };
         let what = crate::file::FIGURES.iter().find(|(_, f)| *f == figure).map_or("", |(name, _)| name);
         (!bound.holds(found)).then(|| Wrong {
+            open: false,
             lost,
             found: format!("{what} is {found}"),
             expected: bound.words(),
@@ -466,10 +494,12 @@
         Source::Registry { address: Some(address), .. } => format!("the registry at {address}"),
         _ => "the default registry".to_string(),
     };
-    wrong(
-        format!("the nodes of pool {:?} are told by {from} and not known here", pool.name),
-        "them to be told (`[[node]]`, or a daemon by `--admin`)",
-    )
+    Some(Wrong {
+        open: true,
+        lost: Vec::new(),
+        found: format!("the nodes of pool {:?} are told by {from} and not known here", pool.name),
+        expected: "them to be told (`[[node]]`, or a daemon by `--live`)".into(),
+    })
 }
 
 fn again(most: Again, is: Effect) -> Option<Wrong> {
@@ -500,7 +530,7 @@
     select.get(label).is_some_and(|want| !listed.contains(want))
 }
 
-fn place(n: &Node) -> String {
+fn stands(n: &Node) -> String {
     format!("{} (site {:?}, block {}, kind {:?})", n.address, n.site, n.block, n.class)
 }
 
--- a/crates/heathroad-expect/src/nodes.rs
+++ b/crates/heathroad-expect/src/nodes.rs
@@ -31,6 +31,13 @@
     true
 }
 
+impl Node {
+    /// One of which nothing is known but that it takes no new work.
+    pub fn withdrawn(address: SocketAddr) -> Node {
+        Node { address, registry: None, site: String::new(), class: String::new(), block: 0, takes: false }
+    }
+}
+
 /// What is assumed to be out, beside what is.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct State {
--- a/crates/heathroad-expect/src/plan.rs
+++ b/crates/heathroad-expect/src/plan.rs
@@ -152,8 +152,10 @@
         need.slack().filter(|s| *s > 0).map_or(0, |s| own.div_ceil(s))
     };
     let least = needs.iter().map(by_need).chain([all.div_ceil(at_once)]).max().unwrap_or(0);
-    // Mates come back where a whole group is out: what is cut off there might have led on.
-    let sound = needs.iter().all(|n| n.group.is_none());
+    // With more out there is less of what is needed, but for mates: where a whole group is out, nobody there asks for them,
+    // and what is cut off for their sake might have led on.
+    let single = |n: &Need| n.loss.is_none_or(|l| l.kind == nodes::Kind::Node);
+    let sound = needs.iter().all(|n| n.group.is_none_or(|g| g == Group::All && single(n)));
     let mut proven = best.len() <= least || units.len() <= MAX_SEARCHED;
     for count in least..if proven { best.len() } else { least } {
         let mut batches = vec![BTreeSet::new(); count];
@@ -173,15 +175,8 @@
         let mut assumed = here.clone();
         assumed.nodes.retain(|n| !batch.contains(&n.address));
         let known = |a: &SocketAddr| here.nodes.iter().find(|n| n.address == *a).cloned();
-        let nobody = |a: SocketAddr| Node {
-            address: a,
-            registry: None,
-            site: String::new(),
-            class: String::new(),
-            block: 0,
-            takes: false,
-        };
-        let out = batch.iter().map(|a| Node { takes: false, ..known(a).unwrap_or_else(|| nobody(*a)) });
+        let out =
+            batch.iter().map(|a| Node { takes: false, ..known(a).unwrap_or_else(|| Node::withdrawn(*a)) });
         assumed.nodes.extend(out);
         let failures = judge(generation, expectations, &assumed)?.failures();
         if let Some(first) = failures.first() {
--- a/crates/heathroad-expect/tests/judged.rs
+++ b/crates/heathroad-expect/tests/judged.rs
@@ -251,15 +251,7 @@
 fn a_drain_that_is_known_counts() {
     let e = expectations(EXPECTED);
     let (generation, mut here) = (generation(ROUTES), here(&e));
-    let drained = |address: &str| heathroad_expect::Node {
-        address: address.parse().expect("an address"),
-        registry: None,
-        site: String::new(),
-        class: String::new(),
-        block: 0,
-        takes: false,
-    };
-    here.nodes.push(drained("127.0.0.1:9003"));
+    here.nodes.push(heathroad_expect::Node::withdrawn("127.0.0.1:9003".parse().expect("an address")));
     let report = judge(&generation, &e, &here).expect("can be judged");
     let failures = report.failures();
     // The list says where it stands; what is known of it elsewhere is that it takes nothing.
--- a/crates/heathroad-expect/tests/plan.rs
+++ b/crates/heathroad-expect/tests/plan.rs
@@ -18,15 +18,7 @@
 }
 
 fn drained(batch: &BTreeSet<SocketAddr>) -> Vec<Node> {
-    let gone = |a: &SocketAddr| Node {
-        address: *a,
-        registry: None,
-        site: String::new(),
-        class: String::new(),
-        block: 0,
-        takes: false,
-    };
-    batch.iter().map(gone).collect()
+    batch.iter().map(|a| Node::withdrawn(*a)).collect()
 }
 
 /// Nodes of a block are each other's mates: one alone leaves the other without, both leave the other block whole.
--- a/crates/heathroad-routing/src/nodes.rs
+++ b/crates/heathroad-routing/src/nodes.rs
@@ -80,6 +80,11 @@
         }
     }
 
+    /// Nodes that are withdrawn, by address.
+    pub fn withdrawn(&self) -> impl Iterator<Item = SocketAddr> {
+        self.nodes.iter().filter(|(_, n)| n.withdrawn).map(|(address, _)| *address)
+    }
+
     /// How many nodes are kept.
     pub fn len(&self) -> usize {
         self.nodes.len()
--- a/crates/heathroad-routing/src/transaction.rs
+++ b/crates/heathroad-routing/src/transaction.rs
@@ -25,11 +25,13 @@
     pub probation: Millis,
     /// Most generations that requests may still be bound to, beside the one in force; a change past that waits.
     pub most_alive: usize,
+    /// A change is judged before it is applied: [`Step::Judge`] asks, [`Event::Judged`] answers.
+    pub judged: bool,
 }
 
 impl Default for Terms {
     fn default() -> Self {
-        Terms { stage: 30_000, probation: 30_000, most_alive: 4 }
+        Terms { stage: 30_000, probation: 30_000, most_alive: 4, judged: false }
     }
 }
 
@@ -45,6 +47,13 @@
         /// The pool.
         pool: String,
     },
+    /// What was said of a change that was to be judged.
+    Judged {
+        /// The change.
+        number: u64,
+        /// Why it must not be applied; none if it may.
+        why: Option<String>,
+    },
     /// What a pool did since the last time.
     Saw(String, Sample),
     /// Somebody wants the change on probation undone, or the last committed one.
@@ -62,6 +71,8 @@
     Write(Record),
     /// Make these pools of a generation ready: nodes heard, connections warm.
     Stage(Rc<Generation>, Vec<String>),
+    /// All else is ready: say by [`Event::Judged`] whether this generation may be applied as things stand.
+    Judge(Rc<Generation>),
     /// From this instant on new requests bind to this generation.
     Apply(Rc<Generation>),
     /// No generation to come names these pools: let them finish what they have, and go.
@@ -102,10 +113,21 @@
     NothingToUndo,
 }
 
+/// Whether a change was judged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Gate {
+    /// It is to be, once all else is ready.
+    Closed,
+    /// It is asked for.
+    Asked,
+    /// It may be applied.
+    Open,
+}
+
 #[derive(Debug)]
 enum Phase {
     Steady,
-    Staging { next: Rc<Generation>, missing: BTreeSet<String>, until: Millis },
+    Staging { next: Rc<Generation>, missing: BTreeSet<String>, until: Millis, gate: Gate },
     Probation { before: Rc<Generation>, watch: Watch, until: Millis },
 }
 
@@ -190,6 +212,7 @@
                 }
                 self.staged(now, out);
             }
+            Event::Judged { number, why } => self.judged(now, number, why, out),
             Event::Saw(pool, sample) => self.saw(&pool, &sample, out),
             Event::Undo(why) => self.undo(now, why, out),
             Event::Stop => self.stop(out),
@@ -208,11 +231,14 @@
         };
         match said {
             Some(said) => out.push(Step::Say(said)),
-            None => self.stage(now, &next, out),
+            None => {
+                let gate = if self.terms.judged { Gate::Closed } else { Gate::Open };
+                self.stage(now, &next, gate, out);
+            }
         }
     }
 
-    fn stage(&mut self, now: Millis, next: &Generation, out: &mut Vec<Step>) {
+    fn stage(&mut self, now: Millis, next: &Generation, gate: Gate, out: &mut Vec<Step>) {
         self.highest += 1;
         // It was checked when it was read, and reads the same under its number.
         let Ok(next) = Generation::read(self.highest, "", &next.text) else { return };
@@ -221,16 +247,24 @@
         out.push(Step::Say(Said::Staging(next.number)));
         let pools = missing.iter().cloned().collect();
         out.push(Step::Stage(next.clone(), pools));
-        self.phase = Phase::Staging { next, missing, until: now + self.terms.stage };
+        self.phase = Phase::Staging { next, missing, until: now + self.terms.stage, gate };
         self.staged(now, out);
     }
 
-    /// Applies the change once nothing is missing.
+    /// Applies the change once nothing is missing and it was judged: last, since nodes may have drained meanwhile.
     fn staged(&mut self, now: Millis, out: &mut Vec<Step>) {
-        let next = match &self.phase {
-            Phase::Staging { next, missing, .. } if missing.is_empty() => next.clone(),
+        let (next, gate) = match &mut self.phase {
+            Phase::Staging { next, missing, gate, .. } if missing.is_empty() => (next.clone(), gate),
             _ => return,
         };
+        match gate {
+            Gate::Closed => {
+                *gate = Gate::Asked;
+                return out.push(Step::Judge(next));
+            }
+            Gate::Asked => return,
+            Gate::Open => {}
+        }
         let watch = self.watch(&next);
         out.push(Step::Write(Record::Applied { number: next.number }));
         out.push(Step::Apply(next.clone()));
@@ -239,6 +273,21 @@
         self.phase = Phase::Probation { before, watch, until: now + self.terms.probation };
     }
 
+    fn judged(&mut self, now: Millis, number: u64, why: Option<String>, out: &mut Vec<Step>) {
+        let gate = match &mut self.phase {
+            Phase::Staging { next, gate, .. } if next.number == number && *gate == Gate::Asked => gate,
+            // The change was given up meanwhile.
+            _ => return,
+        };
+        match why {
+            Some(why) => self.give_up(why, out),
+            None => {
+                *gate = Gate::Open;
+                self.staged(now, out);
+            }
+        }
+    }
+
     fn replace(&mut self, next: Rc<Generation>) -> Rc<Generation> {
         let before = std::mem::replace(&mut self.current, next);
         self.alive.push(Rc::downgrade(&before));
@@ -309,7 +358,8 @@
             Phase::Steady if self.stopping => out.push(Step::Say(Said::Stopping)),
             // A committed one is undone like any change: staged, for its pools may have gone, and watched.
             Phase::Steady => match self.previous.clone() {
-                Some(previous) => self.stage(now, &previous, out),
+                // Not judged: nothing that is expected may stand in the way back.
+                Some(previous) => self.stage(now, &previous, Gate::Open, out),
                 None => out.push(Step::Say(Said::NothingToUndo)),
             },
         }
@@ -370,7 +420,10 @@
         match &self.phase {
             Phase::Staging { missing, until, .. } if now >= *until => {
                 let missing: Vec<&str> = missing.iter().map(String::as_str).collect();
-                let why = format!("not ready in time: {}", missing.join(", "));
+                let why = match missing.as_slice() {
+                    [] => "not judged in time".to_string(),
+                    missing => format!("not ready in time: {}", missing.join(", ")),
+                };
                 self.give_up(why, out);
             }
             Phase::Probation { until, .. } if now >= *until && !self.stopping => {
--- a/crates/heathroad-routing/tests/transactions.rs
+++ b/crates/heathroad-routing/tests/transactions.rs
@@ -6,13 +6,13 @@
 use heathroad_routing::harm::Sample;
 use heathroad_routing::journal::{Record, Recovered};
 use heathroad_routing::nodes::{Nodes, Standing};
-use heathroad_routing::transaction::{Changer, Event, Step, Terms};
+use heathroad_routing::transaction::{Changer, Event, Said, Step, Terms};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 fn terms() -> Terms {
-    Terms { stage: 1_000, probation: 5_000, most_alive: 3 }
+    Terms { stage: 1_000, probation: 5_000, most_alive: 3, judged: false }
 }
 
 /// Pools by name, with the ports of their members.
@@ -62,6 +62,7 @@
                 Step::Write(Record::Committed { number, .. }) => format!("commit {number}"),
                 Step::Write(Record::Closed { number, .. }) => format!("close {number}"),
                 Step::Stage(g, pools) => format!("stage {} {}", g.number, pools.join(" ")),
+                Step::Judge(g) => format!("judge {}", g.number),
                 Step::Apply(g) => format!("apply {}", g.number),
                 Step::Retire(pools) => format!("retire {}", pools.join(" ")),
                 Step::Say(said) => format!("{said:?}"),
@@ -110,6 +111,35 @@
     assert_eq!(s.propose(1_001, &[("b", &[2])])[0], "open 3", "numbers are never given twice");
 }
 
+/// What is judged is judged last, applied only if it may be, and not at all once its time is over. The way back is open.
+#[test]
+fn a_change_that_is_judged_waits_for_its_verdict() {
+    let judged = |number, why: Option<&str>| Event::Judged { number, why: why.map(String::from) };
+    let mut s = Scene::new(&[("a", &[1])]);
+    s.changer = Changer::new(Terms { judged: true, ..terms() }, generation(1, &[("a", &[1])]), 1);
+    let two: &[(&str, &[u16])] = &[("a", &[1]), ("b", &[2])];
+    s.propose(0, two);
+    assert_eq!(s.at(1, judged(2, None)), [""; 0], "nobody has asked");
+    assert_eq!(s.ready(2, "b"), ["judge 2"]);
+    assert_eq!(s.ready(3, "b"), [""; 0], "once");
+    assert_eq!(s.at(4, judged(1, None)), [""; 0], "of another change");
+    let down = ["close 2", "GivenUp(2, \"no\")", "retire b"];
+    assert_eq!(s.at(5, judged(2, Some("no"))), down);
+    s.propose(10, two);
+    s.ready(11, "b");
+    assert_eq!(s.at(12, judged(3, None))[..2], ["write applied 3", "apply 3"]);
+    assert_eq!(s.at(13, judged(3, Some("late"))), [""; 0], "it is in force");
+    s.at(9_000, Event::Tick);
+    // A committed change is undone without a verdict.
+    let undo = s.at(9_001, Event::Undo("asked".into()));
+    assert!(undo.contains(&"apply 4".to_string()), "{undo:?}");
+    s.at(20_000, Event::Tick);
+    s.propose(20_001, two);
+    s.ready(20_002, "b");
+    assert_eq!(s.at(21_001, Event::Tick)[1], "GivenUp(5, \"not judged in time\")");
+    assert_eq!(s.at(21_002, judged(5, None)), [""; 0]);
+}
+
 /// A pool of the same name, worded otherwise, was staged by a change that was given up: its connections are no news.
 #[test]
 fn what_an_earlier_change_staged_makes_no_later_one_ready() {
@@ -239,6 +269,10 @@
     /// Requests: the generation they were taken under, and its number and text then.
     requests: Vec<(Rc<Generation>, u64, String)>,
     applied: Vec<u64>,
+    /// Changes are judged; the one that is asked about, and those that may be applied.
+    judged: bool,
+    asked: Option<u64>,
+    may: BTreeSet<u64>,
     now: u64,
     sent: usize,
 }
@@ -248,11 +282,11 @@
 }
 
 impl World {
-    fn start(log: Recovered) -> World {
+    fn start(log: Recovered, judged: bool) -> World {
         let (number, text) = log.committed.clone().expect("something was committed");
         let current = Generation::read(number, "log", &text).unwrap_or_else(|e| panic!("{e}"));
         let mut world = World {
-            changer: Changer::new(terms(), current.clone(), log.highest),
+            changer: Changer::new(Terms { judged, ..terms() }, current.clone(), log.highest),
             log,
             nodes: Nodes::default(),
             withdrawn: BTreeSet::new(),
@@ -260,6 +294,9 @@
             ready: BTreeSet::new(),
             requests: Vec::new(),
             applied: vec![number],
+            judged,
+            asked: None,
+            may: BTreeSet::new(),
             now: 0,
             sent: 0,
         };
@@ -293,6 +330,10 @@
     /// Takes an event; some steps may not be reached, if the daemon is killed between them.
     fn tell(&mut self, event: Event, killed_after: Option<usize>) -> bool {
         let mut steps = Vec::new();
+        if let Event::Judged { number, why: None } = &event {
+            self.may.insert(*number);
+        }
+        let undoing = matches!(event, Event::Undo(_));
         self.changer.handle(self.now, event, &mut steps);
         for (i, step) in steps.into_iter().enumerate() {
             if killed_after == Some(i) {
@@ -309,6 +350,8 @@
                     let durable = self.log.open == Some((g.number, true))
                         || self.log.committed.as_ref().is_some_and(|(n, _)| *n == g.number);
                     assert!(durable, "it was written down first");
+                    let change = self.log.open == Some((g.number, true));
+                    assert!(!self.judged || !change || self.may.contains(&g.number), "it was judged first");
                     self.applied.push(g.number);
                     self.name(&g);
                 }
@@ -317,6 +360,12 @@
                     assert!(pools.iter().all(|p| current.pool(p).is_none()), "none that is in force");
                     pools.iter().for_each(|p| self.nodes.named(p, &BTreeSet::new()));
                 }
+                Step::Judge(g) => {
+                    assert!(self.judged && self.log.open == Some((g.number, false)));
+                    self.asked = Some(g.number);
+                }
+                // Nothing that is expected stands in the way back.
+                Step::Say(Said::Staging(number)) if undoing => drop(self.may.insert(number)),
                 Step::Say(_) => {}
             }
         }
@@ -363,16 +412,18 @@
 /// generation, killed between any two steps.
 #[test]
 fn histories_of_changes_drains_deaths_and_kills() {
-    let (mut commits, mut undone, mut kills, mut sends) = (0, 0, 0, 0);
+    let (mut commits, mut undone, mut kills, mut sends, mut downs) = (0, 0, 0, 0, 0);
     for seed in 0..10_000 {
         let mut rng = fastrand::Rng::with_seed(seed);
         let first = (1, random_text(&mut rng));
-        let mut world =
-            World::start(Recovered { committed: Some(first), highest: 1, ..Recovered::default() });
+        let mut world = World::start(
+            Recovered { committed: Some(first), highest: 1, ..Recovered::default() },
+            seed % 2 == 0,
+        );
         for _ in 0..40 {
             world.now += rng.u64(..1_500);
             let killed = (rng.u8(..20) == 0).then(|| rng.usize(..4));
-            let event = match rng.u8(..12) {
+            let event = match rng.u8(..if seed % 2 == 0 { 14 } else { 12 }) {
                 0..=2 => {
                     let text = random_text(&mut rng);
                     Event::Propose(Generation::read(0, "f", &text).unwrap_or_else(|e| panic!("{e}")))
@@ -413,7 +464,13 @@
                     world.request(&mut rng);
                     continue;
                 }
-                _ => Event::Tick,
+                11 => Event::Tick,
+                // The answer to what was asked, late or not at all, or to what nobody asks any more.
+                _ => {
+                    let why = (rng.u8(..4) == 0).then(|| "it breaks what is expected".to_string());
+                    downs += usize::from(why.is_some());
+                    Event::Judged { number: world.asked.unwrap_or(1), why }
+                }
             };
             let before = (world.log.committed.clone(), world.changer.open());
             let alive = world.tell(event, killed);
@@ -427,7 +484,7 @@
                 kills += 1;
                 let highest = world.log.highest;
                 sends += world.sent;
-                world = World::start(world.log.clone());
+                world = World::start(world.log.clone(), seed % 2 == 0);
                 assert_eq!(world.changer.current().number, committed.0, "seed {seed}");
                 assert_eq!(world.changer.current().text, committed.1, "seed {seed}: never one on probation");
                 assert!(world.changer.open().is_none() && world.log.highest == highest, "seed {seed}");
@@ -438,7 +495,7 @@
     }
     // The histories hold what they are for.
     assert!(
-        commits > 2_000 && undone > 500 && kills > 2_000 && sends > 20_000,
-        "{commits} {undone} {kills} {sends}"
+        commits > 2_000 && undone > 500 && kills > 2_000 && sends > 20_000 && downs > 2_000,
+        "{commits} {undone} {kills} {sends} {downs}"
     );
 }
--- a/crates/heathroad/src/admin.rs
+++ b/crates/heathroad/src/admin.rs
@@ -58,7 +58,7 @@
     let (head, body) = request.into_parts();
     let (get, path) = (head.method == Method::GET, head.uri.path());
     let allowed = match path {
-        "/metrics" | "/counts" | "/config/status" => "GET",
+        "/metrics" | "/counts" | "/config/status" | "/config/expect" | "/config/nodes" => "GET",
         "/config/apply" | "/config/undo" => "POST",
         _ => return plain(StatusCode::NOT_FOUND),
     };
@@ -81,6 +81,23 @@
         ("/config/status", Router::Many(many)) => {
             said(StatusCode::OK, "application/json", many.status().to_string())
         }
+        ("/config/nodes", Router::Many(many)) => match serde_json::to_string(&many.known_nodes()) {
+            Ok(nodes) => said(StatusCode::OK, "application/json", nodes),
+            Err(e) => said(StatusCode::INTERNAL_SERVER_ERROR, TEXT, e.to_string()),
+        },
+        ("/config/expect", Router::Many(many)) => match many.expect().await {
+            Ok(Some(report)) => {
+                let (holds, verdicts) = (report.holds(), report.verdicts);
+                let told = serde_json::json!({"file": report.file, "holds": holds, "verdicts": verdicts});
+                said(StatusCode::OK, "application/json", told.to_string())
+            }
+            Ok(None) => said(
+                StatusCode::NOT_FOUND,
+                TEXT,
+                "nothing is expected: the file names no `expectations`".into(),
+            ),
+            Err(wrong) => said(StatusCode::UNPROCESSABLE_ENTITY, TEXT, wrong),
+        },
         ("/config/undo", Router::Many(many)) => told(&many.handle(Event::Undo("asked for".into()))),
         (_, Router::Many(many)) => {
             let body = Limited::new(body, MAX_BODY).collect().await.map(|b| b.to_bytes());
@@ -89,7 +106,7 @@
                 let why = format!("a configuration is UTF-8 text of {MAX_BODY} bytes at most");
                 return said(StatusCode::PAYLOAD_TOO_LARGE, TEXT, why);
             };
-            match many.propose("apply", &text) {
+            match many.propose("apply", &text).await {
                 Ok(list) => told(&list),
                 Err(wrong) => said(StatusCode::UNPROCESSABLE_ENTITY, TEXT, wrong),
             }
--- a/crates/heathroad/src/cli.rs
+++ b/crates/heathroad/src/cli.rs
@@ -23,6 +23,27 @@
     pub admin: Option<std::net::SocketAddr>,
 }
 
+/// What expectations are held against.
+#[derive(clap::Args)]
+pub struct With {
+    /// The TOML file of routes and pools.
+    pub routes: PathBuf,
+    /// The TOML files of expectations.
+    #[arg(required = true)]
+    pub expectations: Vec<PathBuf>,
+    /// The daemon's JSON file, for its tenants and limits.
+    #[arg(long, value_name = "FILE")]
+    pub settings: Option<PathBuf>,
+    /// Ask a running daemon for the nodes, in place of the file's [[node]].
+    #[arg(long)]
+    pub live: bool,
+    #[command(flatten)]
+    pub at: At,
+    /// Answer in JSON.
+    #[arg(long)]
+    pub json: bool,
+}
+
 /// What the program does beside running.
 #[derive(Subcommand)]
 pub enum Command {
@@ -48,6 +69,25 @@
         #[command(flatten)]
         at: At,
     },
+    /// Say whether a file of routes and pools holds what is expected of it, without a daemon or traffic.
+    Expect {
+        #[command(flatten)]
+        with: With,
+    },
+    /// Plan drains in batches so that all that is expected holds in each; without a choice, of all nodes.
+    Drains {
+        #[command(flatten)]
+        with: With,
+        /// A node to drain; may be said more than once.
+        #[arg(long, value_name = "ADDRESS")]
+        node: Vec<std::net::SocketAddr>,
+        /// A site whose nodes to drain; may be said more than once.
+        #[arg(long)]
+        site: Vec<String>,
+        /// Most nodes that drain at once.
+        #[arg(long, default_value_t = usize::MAX, hide_default_value = true)]
+        at_once: usize,
+    },
     /// Say in words which requests move where between two files of routes and pools.
     Diff {
         /// The file in force.
--- a/crates/heathroad/src/config.rs
+++ b/crates/heathroad/src/config.rs
@@ -18,6 +18,8 @@
     pub admin: Option<SocketAddr>,
     /// The file of routes and pools, if there is one; else the settings' one pool serves.
     pub routes: Option<PathBuf>,
+    /// What is expected of them: a change that breaks it is turned down.
+    pub expectations: Option<PathBuf>,
     /// The folder in which the committed configuration is kept, if there is one.
     pub state: Option<PathBuf>,
     /// How long a change of routes is watched before it is committed.
@@ -40,6 +42,7 @@
     discovery: Option<String>,
     admin: Option<String>,
     routes: Option<PathBuf>,
+    expectations: Option<PathBuf>,
     state: Option<PathBuf>,
     #[serde(default = "usual_probation")]
     probation_ms: u64,
@@ -117,6 +120,7 @@
         (file.limits.memory_mb < MIN_MEMORY_MB, "limits.memory_mb: too little to work with"),
         (file.probation_ms > MAX_PROBATION_MS, "probation_ms: is more than an hour"),
         (file.state.is_some() && file.routes.is_none(), "state: is of use with `routes` only"),
+        (file.expectations.is_some() && file.routes.is_none(), "expectations: are of use with `routes` only"),
         (site.classes.iter().any(String::is_empty), "settings: classes: one has no name"),
         (site.tenants.iter().any(String::is_empty), "settings: tenants: one has no name"),
         (site.zones.is_empty(), "settings: localities: is missing or empty"),
@@ -136,6 +140,7 @@
             None => None,
         },
         routes: file.routes,
+        expectations: file.expectations,
         state: file.state,
         probation: Duration::from_millis(file.probation_ms),
         seed: u64::from_str_radix(&file.seed, 16).map_err(|e| format!("config: seed: {e}"))?,
--- a/crates/heathroad/src/main.rs
+++ b/crates/heathroad/src/main.rs
@@ -23,7 +23,9 @@
 mod discovery;
 mod disk;
 mod engine;
+mod expect;
 mod front;
+mod gate;
 mod pace;
 mod remote;
 mod roster;
@@ -68,13 +70,17 @@
 /// The bodies of open requests may fill this part of the memory; the rest is for buffers, answers and the program.
 const BODIES: usize = 4;
 
-/// The exit code for a file that `check` or `diff` turns down; a failed start ends with 1.
+/// The exit code for a file that `check`, `diff`, `expect` or `drains` turns down; a failed start ends with 1.
 const BAD_INPUT: u8 = 2;
 
 fn main() -> ExitCode {
     let (done, code) = match Cli::parse().command {
         None => (start(), ExitCode::FAILURE),
         Some(Command::Check { file }) => (check(&file), ExitCode::from(BAD_INPUT)),
+        Some(Command::Expect { with }) => (told(expect::expect(&with)), ExitCode::from(BAD_INPUT)),
+        Some(Command::Drains { with, node, site, at_once }) => {
+            (told(expect::plan(&with, &node, &site, at_once)), ExitCode::from(BAD_INPUT))
+        }
         Some(Command::Diff { from, to }) => (diff(&from, &to), ExitCode::from(BAD_INPUT)),
         Some(Command::Apply { file, at }) => (apply(&file, at.admin), ExitCode::FAILURE),
         Some(Command::Status { at }) => (ask(at.admin, Method::GET, "/config/status"), ExitCode::FAILURE),
@@ -118,6 +124,18 @@
         .as_str())
 }
 
+/// What is found broken is an answer like any other, with an exit code of its own.
+fn told(found: Result<String, expect::Trouble>) -> Result<(), String> {
+    match found {
+        Ok(text) => say(&text),
+        Err(expect::Trouble::Other(e)) => Err(e),
+        Err(expect::Trouble::Broken(text)) => {
+            say(&text)?;
+            Err("what is expected does not hold".to_string())
+        }
+    }
+}
+
 fn apply(file: &Path, admin: Option<SocketAddr>) -> Result<(), String> {
     let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
     say(&remote::call(admin, Method::POST, "/config/apply", text)?)
@@ -186,7 +204,7 @@
             Lists::Routes(many) => {
                 many.move_registry(address);
                 if let Some(file) = &config.routes {
-                    routes::reload(file, many);
+                    spawn_local(routes::reload(file.clone(), many.clone()));
                 }
             }
         }
--- a/crates/heathroad/src/router.rs
+++ b/crates/heathroad/src/router.rs
@@ -8,7 +8,9 @@
 use crate::discovery::{self, News};
 use crate::disk::Folder;
 use crate::engine::Engine;
+use crate::gate::{self, Expected, Gate};
 use crate::roster::{Health, Host};
+use heathroad_expect::{Here, Node, Report};
 use heathroad_routing::file::{self, Group, Listener, Pool, Source};
 use heathroad_routing::generation::Generation;
 use heathroad_routing::harm::Sample;
@@ -207,6 +209,8 @@
     pub registry: SocketAddr,
     /// Bounds of changes.
     pub terms: Terms,
+    /// What is expected of the configuration, if anything.
+    pub gate: Option<Gate>,
 }
 
 /// Pools by routes, changed by transactions.
@@ -228,6 +232,10 @@
     nodes: RefCell<Nodes>,
     changer: RefCell<Changer>,
     journal: RefCell<Option<Journal<Folder>>>,
+    /// What is expected of the change under way.
+    expected: RefCell<Option<Expected>>,
+    /// Grows with all that is heard of nodes.
+    news: Cell<u64>,
     told: RefCell<VecDeque<String>>,
     started: Instant,
 }
@@ -263,6 +271,8 @@
             nodes: RefCell::default(),
             changer: RefCell::new(changer),
             journal: RefCell::new(journal),
+            expected: RefCell::default(),
+            news: Cell::default(),
             told: RefCell::default(),
             started: Instant::now(),
         });
@@ -443,6 +453,7 @@
 
     fn hear(self: &Rc<Self>, from: SocketAddr, news: News) {
         let News::List(kind, hosts) = news else { return };
+        self.news.set(self.news.get() + 1);
         let mut changed = BTreeSet::new();
         // Hosts whose labels change, as they were told before and now.
         let mut moved: Vec<(Host, &Host)> = Vec::new();
@@ -629,6 +640,7 @@
                         steps.extend(others);
                     }
                 },
+                Step::Judge(generation) => self.judge(&generation),
                 Step::Apply(generation) => {
                     if let Err(e) = self.activate(&generation) {
                         self.tell(format!("generation {}: {e}", generation.number));
@@ -705,16 +717,89 @@
     }
 
     /// Proposes a text as a change; what is wrong with it, or what is said of it.
-    pub fn propose(self: &Rc<Self>, file: &str, text: &str) -> Result<Vec<Said>, String> {
+    pub async fn propose(self: &Rc<Self>, file: &str, text: &str) -> Result<Vec<Said>, String> {
         let generation = Generation::read(0, file, text).map_err(|e| e.to_string())?;
+        let expected = self.base.gate.as_ref().map(Gate::expected).transpose()?;
+        if let Some(expected) = &expected {
+            // Nodes that no registry has told yet, since no pool asks it, are waited for: the last word is at the end.
+            let broken = expected.judge(text.to_string(), self.here()).await?.known();
+            if !broken.is_empty() {
+                return Err(broken.join("\n"));
+            }
+        }
         let opened = self.open_doors(&generation);
         if opened.is_err() {
             self.tidy();
         }
         opened?;
+        // The change under way keeps its own, if this one is turned down for it.
+        let open = self.changer.borrow().open().is_some();
+        if !open {
+            self.expected.replace(expected);
+        }
         Ok(self.handle(Event::Propose(generation)))
     }
 
+    /// Judges a change that is ready, as things stand when it is applied: what was judged while nodes changed is judged again.
+    fn judge(self: &Rc<Self>, generation: &Generation) {
+        let (many, number, text) = (Rc::downgrade(self), generation.number, generation.text.clone());
+        spawn_local(async move {
+            loop {
+                let Some(strong) = many.upgrade() else { return };
+                let (seen, expected) = (strong.news.get(), strong.expected.borrow().clone());
+                let here = strong.here();
+                drop(strong);
+                let why = match expected {
+                    Some(expected) => match expected.judge(text.clone(), here).await {
+                        Ok(report) => Some(report.failures().join("; ")).filter(|f| !f.is_empty()),
+                        Err(e) => Some(e),
+                    },
+                    None => None,
+                };
+                let Some(strong) = many.upgrade() else { return };
+                if strong.changer.borrow().open() != Some((number, false)) {
+                    return;
+                }
+                if strong.news.get() == seen {
+                    strong.handle(Event::Judged { number, why });
+                    return;
+                }
+                // Nodes have changed meanwhile; where they do all the time, the change is given up when its time is over.
+            }
+        });
+    }
+
+    /// Holds the configuration in force against what is expected now.
+    pub async fn expect(&self) -> Result<Option<Report>, String> {
+        let Some(gate) = &self.base.gate else { return Ok(None) };
+        let text = self.in_force().text.clone();
+        gate.expected()?.judge(text, self.here()).await.map(Some)
+    }
+
+    /// What is known of this place, for expectations.
+    fn here(&self) -> Here {
+        gate::here(&self.base.facts, self.registry.get(), self.known_nodes())
+    }
+
+    /// The nodes that registries tell, and those of lists that are known to be withdrawn.
+    pub fn known_nodes(&self) -> Vec<Node> {
+        let out: BTreeSet<SocketAddr> = self.nodes.borrow().withdrawn().collect();
+        let mut known = Vec::new();
+        for (registry, told) in &*self.registries.borrow() {
+            let node = |h: &Host| {
+                let address = h.dial?;
+                let takes = h.health == Health::Serving && !out.contains(&address);
+                let (registry, site, class) = (Some(*registry), h.site.clone(), h.class.clone());
+                Some(Node { address, registry, site, class, block: h.block, takes })
+            };
+            known.extend(told.hosts.values().filter_map(node));
+        }
+        let told: BTreeSet<SocketAddr> = known.iter().map(|n| n.address).collect();
+        let gone = out.difference(&told).map(|address| Node::withdrawn(*address));
+        known.extend(gone);
+        known
+    }
+
     /// What is in force, and what was told of changes lately.
     pub fn status(&self) -> Value {
         let mut changer = self.changer.borrow_mut();
@@ -724,6 +809,7 @@
         });
         let current = self.current.borrow();
         json!({"generation": current.generation.number, "digest": current.generation.digest, "open": open,
+            "expectations": self.base.gate.as_ref().map(|g| g.file().display().to_string()),
             "older_generations_in_use": alive, "told": *self.told.borrow()})
     }
 }
--- a/crates/heathroad/src/routes.rs
+++ b/crates/heathroad/src/routes.rs
@@ -3,11 +3,12 @@
 use crate::backend::Pool;
 use crate::config::Config;
 use crate::disk::Folder;
+use crate::gate::{self, Gate};
 use crate::router::{Base, Many};
 use heathroad_routing::generation::Generation;
 use heathroad_routing::journal::{Journal, OpenError, Record};
 use heathroad_routing::transaction::Terms;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
 /// Reads and checks a file; an error has a line for everything that is wrong.
@@ -54,6 +55,7 @@
             Err(OpenError::Disk(e)) => return Err(format!("state: {place}: {e}")),
         }
     }
+    let gate = config.expectations.as_deref().map(Gate::new);
     let first = match first {
         Some(kept) => {
             if std::fs::read_to_string(file).is_ok_and(|text| text != kept.text) {
@@ -66,6 +68,9 @@
         }
         None => {
             let read = numbered(file, highest)?;
+            if let Some(gate) = &gate {
+                expected(gate, &read, config)?;
+            }
             if let Some(journal) = &mut journal {
                 let record = Record::Committed { number: read.number, text: read.text.clone() };
                 journal.write(record).map_err(|e| format!("state: {e}"))?;
@@ -79,16 +84,28 @@
         seed: config.seed,
         connections: connections.clone(),
         registry: config.discovery,
-        terms: Terms { probation, ..Terms::default() },
+        terms: Terms { probation, judged: gate.is_some(), ..Terms::default() },
+        gate,
     };
     Many::new(base, first, highest, journal)
 }
 
+/// What is known to be broken of what is expected before a registry has told any node; no start is made on that. (What was
+/// committed has passed, and stays whatever has become of its nodes.)
+fn expected(gate: &Gate, first: &Generation, config: &Config) -> Result<(), String> {
+    let here = gate::here(&config.facts, config.discovery, Vec::new());
+    let broken = heathroad_expect::judge(first, &gate::read(gate.file())?, &here)?.known();
+    if broken.is_empty() { Ok(()) } else { Err(broken.join("\n")) }
+}
+
 /// Proposes a file that may have changed; what is wrong with it is logged, and changes nothing.
-pub fn reload(file: &Path, many: &Rc<Many>) {
+pub async fn reload(file: PathBuf, many: Rc<Many>) {
     let name = file.display().to_string();
-    let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: {e}"));
-    if let Err(e) = text.and_then(|text| many.propose(&name, &text)) {
+    let proposed = match std::fs::read_to_string(&file).map_err(|e| format!("{name}: {e}")) {
+        Ok(text) => many.propose(&name, &text).await,
+        Err(e) => Err(e),
+    };
+    if let Err(e) = proposed {
         eprintln!("heathroad: configuration kept: {e}");
     }
 }
--- a/crates/heathroad/tests/rig/mod.rs
+++ b/crates/heathroad/tests/rig/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses its part of it")]
 
 pub mod rpc;
+pub mod scene;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, combinators::BoxBody};
