--- a/crates/heathroad-budget/src/wire.rs
+++ b/crates/heathroad-budget/src/wire.rs
@@ -1,4 +1,4 @@
-//! Budgets as headers, which a backend can copy as they are: `Req-Budget: t=1850, a=2, w=750, h=6` and
+//! Budgets as headers, which a backend can copy as they are: `Req-Budget: t=1850, a=2, w=750, h=6, i=00c0ffee00c0ffee` and
 //! `Req-Path: gate-1, policy-2` with a request, `Req-Spent: a=1` or `Req-Spent: a=1, stop` with its answer.
 //!
 //! One spelling for each value: no spaces but behind commas, no signs, no leading zeros, all members in their order. What is
@@ -30,6 +30,8 @@
     pub worth: u16,
     /// Proxies that it may still pass.
     pub hops: u8,
+    /// Which loan this is: calls that one parent makes copy one budget, and share what it holds.
+    pub loan: u64,
 }
 
 /// What was spent below, told with an answer.
@@ -56,6 +58,12 @@
     text.parse().ok().filter(|n| digits && *n <= most)
 }
 
+/// Sixteen hexadecimal digits in lower case.
+fn loan(text: &str) -> Option<u64> {
+    let digits = text.len() == 16 && text.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
+    u64::from_str_radix(text, 16).ok().filter(|_| digits)
+}
+
 /// The one value of a header; one that comes twice is spoilt, even if both say the same.
 fn once<'a>(mut values: impl Iterator<Item = &'a [u8]>) -> Result<Option<&'a str>, Spoilt> {
     let Some(value) = values.next() else { return Ok(None) };
@@ -72,7 +80,7 @@
     /// Reads `Req-Budget` from all the values that came under its name; none is none.
     pub fn read<'a>(values: impl Iterator<Item = &'a [u8]>) -> Result<Option<Budget>, Spoilt> {
         let Some(text) = once(values)? else { return Ok(None) };
-        let spoilt = Spoilt("t=MILLISECONDS, a=ATTEMPTS, w=THOUSANDTHS, h=HOPS");
+        let spoilt = Spoilt("t=MILLISECONDS, a=ATTEMPTS, w=THOUSANDTHS, h=HOPS, i=LOAN");
         let mut members = text.split(", ");
         let mut member = |name: &str, most: u32| {
             let value = members.next()?.strip_prefix(name)?.strip_prefix('=')?;
@@ -83,10 +91,11 @@
             let attempts = member("a", u32::from(MAX_ATTEMPTS))? as u16;
             let worth = member("w", u32::from(WHOLE_WORTH))? as u16;
             let hops = member("h", u32::from(MAX_HOPS))? as u8;
-            Some(Budget { time_ms, attempts, worth, hops })
+            Some(Budget { time_ms, attempts, worth, hops, loan: 0 })
         };
         let budget = all().ok_or(spoilt)?;
-        if members.next().is_some() { Err(spoilt) } else { Ok(Some(budget)) }
+        let loan = members.next().and_then(|m| loan(m.strip_prefix("i=")?)).ok_or(spoilt)?;
+        if members.next().is_some() { Err(spoilt) } else { Ok(Some(Budget { loan, ..budget })) }
     }
 
     /// What counts of a budget that a request told: from an inner peer all of it, within what is granted here at the most
@@ -98,20 +107,16 @@
             true => (told.attempts, told.worth),
             false => (told.attempts.min(own.attempts), told.worth.min(own.worth)),
         };
-        Budget { time_ms, attempts, worth, hops }
-    }
-
-    /// What a call below is told: less the time spent here, and one hop.
-    pub fn below(self, spent_ms: u32, attempts: u16) -> Budget {
-        let time_ms = self.time_ms.saturating_sub(spent_ms);
-        Budget { time_ms, attempts, hops: self.hops.saturating_sub(1), ..self }
+        // A number that anybody outside may have made up names no loan.
+        let loan = if inner { told.loan } else { 0 };
+        Budget { time_ms, attempts, worth, hops, loan }
     }
 }
 
 impl fmt::Display for Budget {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Budget { time_ms, attempts, worth, hops } = self;
-        write!(f, "t={time_ms}, a={attempts}, w={worth}, h={hops}")
+        let Budget { time_ms, attempts, worth, hops, loan } = self;
+        write!(f, "t={time_ms}, a={attempts}, w={worth}, h={hops}, i={loan:016x}")
     }
 }
 
--- a/crates/heathroad/src/backend/http.rs
+++ b/crates/heathroad/src/backend/http.rs
@@ -1,6 +1,7 @@
 //! Attempts over HTTP/1.1: a connection carries one request at a time.
 
 use super::{End, Idle, MAX_BODY, Pool, RETIRE, Target};
+use crate::budget::Purse;
 use crate::stream::{Outgoing, Progress, Watched};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -99,6 +100,7 @@
     target: &Rc<Target>,
     not_past: Instant,
     written: Rc<Cell<bool>>,
+    purse: Option<Rc<Purse>>,
 ) -> End {
     let (mut link, answer) = loop {
         let (mut link, kept) = match pool.reuse(target) {
@@ -113,7 +115,7 @@
         if pool.drained(target) {
             return End::Unserved(Outcome::Moot);
         }
-        let Some(request) = call.request(&link.progress, not_past) else {
+        let Some(request) = call.request(&link.progress, not_past, purse.as_deref()) else {
             return End::Unserved(Outcome::Moot);
         };
         written.set(true);
@@ -127,7 +129,7 @@
             Err(_) => return End::Unserved(Outcome::ConnectFailed),
         }
     };
-    let sound = match read(answer).await {
+    let sound = match read(answer, purse.as_deref()).await {
         Some(end) => settle(&mut link, end).await,
         None => None,
     };
@@ -160,8 +162,11 @@
 
 /// What an answer means; nothing if it is spoilt. Its length must be told, once, and be one that is allowed: what
 /// has none ends nowhere, and of two at most one is true.
-async fn read(answer: Response<Incoming>) -> Option<End> {
+async fn read(answer: Response<Incoming>, purse: Option<&Purse>) -> Option<End> {
     let (head, mut body) = answer.into_parts();
+    if let Some(purse) = purse {
+        purse.read(&head.headers);
+    }
     let declined = head.headers.get("srv-declined").is_some_and(|v| v == "1");
     let lengths = head.headers.get_all(header::CONTENT_LENGTH).iter().count();
     let codings = head.headers.get_all(header::TRANSFER_ENCODING).iter().count();
@@ -195,14 +200,23 @@
 }
 
 impl Call {
-    fn request(&self, progress: &Rc<Progress>, not_past: Instant) -> Option<Request<Outgoing>> {
-        let left = not_past.saturating_duration_since(Instant::now()).as_millis() as u64;
+    fn request(
+        &self,
+        progress: &Rc<Progress>,
+        not_past: Instant,
+        purse: Option<&Purse>,
+    ) -> Option<Request<Outgoing>> {
+        let remains = not_past.saturating_duration_since(Instant::now());
+        let left = remains.as_millis() as u64;
         let mut request = Request::builder().method(self.method.clone()).uri(self.uri.clone());
         let headers = request.headers_mut()?;
         let host = self.host.clone().unwrap_or(HeaderValue::from_static("heathroad"));
         headers.insert(HOST, host);
         headers.insert("req-id", self.id.clone());
         headers.insert("req-deadline-ms", HeaderValue::from(left));
+        if let Some(purse) = purse {
+            purse.write(headers, remains);
+        }
         if let Some(key) = &self.key {
             headers.insert("idempotency-key", key.clone());
         }
--- a/crates/heathroad/src/backend/mod.rs
+++ b/crates/heathroad/src/backend/mod.rs
@@ -4,6 +4,7 @@
 pub mod http;
 pub mod rpc;
 
+use crate::budget::Purse;
 use bytes::Bytes;
 use http::Link;
 use std::cell::{Cell, RefCell};
@@ -266,9 +267,10 @@
     target: &Rc<Target>,
     not_past: Instant,
     written: Rc<Cell<bool>>,
+    purse: Option<Rc<Purse>>,
 ) -> End {
     match call {
-        Call::Http(call) => http::exchange(pool, call, target, not_past, written).await,
+        Call::Http(call) => http::exchange(pool, call, target, not_past, written, purse).await,
         // In a box, so that calls over HTTP need no room for it.
         Call::Rpc(call) => Box::pin(rpc::exchange(pool, call, target, not_past, written)).await,
     }
@@ -291,6 +293,8 @@
     pub not_past: Instant,
     /// Withdraws it.
     pub cancelled: oneshot::Receiver<()>,
+    /// What it takes along and brings back, where budgets are kept.
+    pub purse: Option<Rc<Purse>>,
 }
 
 impl Attempt {
@@ -299,9 +303,9 @@
     /// and cost both sides a new connection. The backend works on, and is loaded by that: when the answer
     /// has come after all, or the connection is closed, `late` tells of it, once.
     pub async fn run(self, pool: Rc<Pool>, report: impl FnOnce(End), late: impl FnOnce(End)) {
-        let Attempt { call, target, not_past, mut cancelled } = self;
+        let Attempt { call, target, not_past, mut cancelled, purse } = self;
         let written = Rc::new(Cell::new(false));
-        let mut exchange = pin!(exchange(&pool, &call, &target, not_past, written.clone()));
+        let mut exchange = pin!(exchange(&pool, &call, &target, not_past, written.clone(), purse));
         let given_up = tokio::select! {
             biased;
             end = &mut exchange => return report(end),
@@ -353,7 +357,7 @@
                 let (cancel, cancelled) = oneshot::channel();
                 let not_past = Instant::now() + connect;
                 let (call, target) = (Rc::new(call), target.clone());
-                let attempt = Attempt { call, target: target.clone(), not_past, cancelled };
+                let attempt = Attempt { call, target: target.clone(), not_past, cancelled, purse: None };
                 let (report, reported) = oneshot::channel();
                 let report = |end: End| report.send(end.outcome()).expect("awaited");
                 let (late, ended) = oneshot::channel();
--- a/crates/heathroad/src/config.rs
+++ b/crates/heathroad/src/config.rs
@@ -1,5 +1,6 @@
 //! What the proxy is told at its start: the environment and the configuration file, checked.
 
+use crate::budget;
 use crate::roster::Page;
 use serde::Deserialize;
 use std::env;
@@ -18,6 +19,8 @@
     pub admin: Option<SocketAddr>,
     /// The file of routes and pools, if there is one; else the settings' one pool serves.
     pub routes: Option<PathBuf>,
+    /// What this proxy keeps to of budgets down a chain, if it does.
+    pub budget: Option<budget::Settings>,
     /// What is expected of them: a change that breaks it is turned down.
     pub expectations: Option<PathBuf>,
     /// The folder in which the committed configuration is kept, if there is one.
@@ -41,6 +44,7 @@
     listen: Option<String>,
     discovery: Option<String>,
     admin: Option<String>,
+    budget: Option<budget::File>,
     routes: Option<PathBuf>,
     expectations: Option<PathBuf>,
     state: Option<PathBuf>,
@@ -113,7 +117,7 @@
 fn parse(text: &[u8], named: Named) -> Result<Config, String> {
     let json = &mut serde_json::Deserializer::from_slice(text);
     let file: File = serde_path_to_error::deserialize(json).map_err(|e| format!("config: {e}"))?;
-    let facts = settings::read(file.settings).map_err(|e| format!("config: {e}"))?;
+    let mut facts = settings::read(file.settings).map_err(|e| format!("config: {e}"))?;
     let site = &facts.site;
     let wrong = [
         (file.limits.sockets < MIN_SOCKETS, "limits.sockets: too few to work with"),
@@ -132,7 +136,10 @@
     if let Some((_, what)) = wrong.iter().find(|(bad, _)| *bad) {
         return Err(format!("config: {what}"));
     }
+    let budget = file.budget.map(budget::File::check).transpose().map_err(|e| format!("config: {e}"))?;
+    facts.settings.worth_carried = budget.is_some();
     Ok(Config {
+        budget,
         listen: address("listen", named.listen.or(file.listen))?,
         discovery: address("discovery", named.discovery.or(file.discovery))?,
         admin: match named.admin.or(file.admin) {
--- a/crates/heathroad/src/counts.rs
+++ b/crates/heathroad/src/counts.rs
@@ -1,6 +1,7 @@
 //! What the daemon counts of itself, and the two forms in which it tells it: Prometheus text and one JSON object.
 //! Counting is a handful of plain additions a request; names are looked up once for each pair of class and tenant.
 
+use crate::budget::Books;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -109,6 +110,11 @@
     notice: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ByEvent {
+    event: &'static str,
+}
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct ByStatus {
     status: u16,
@@ -164,6 +170,8 @@
     open: Family<OfPool, Gauge>,
     descriptors: Gauge,
     descriptors_most: Gauge,
+    budget: Family<ByEvent, Counter>,
+    books: RefCell<Option<Rc<Books>>>,
 }
 
 /// What one run of a pool counts in. Counters start at 0 and never go back.
@@ -229,6 +237,8 @@
         });
         let open = Family::<OfPool, Gauge>::default();
         r.register("requests_open", "Requests that are owed an answer", open.clone());
+        let budget = Family::<ByEvent, Counter>::default();
+        r.register("budget", "Requests and attempts on the books of budgets", budget.clone());
         let descriptors = Gauge::default();
         r.register("descriptors", "Descriptors that the process holds", descriptors.clone());
         let descriptors_most = Gauge::default();
@@ -251,9 +261,31 @@
             open,
             descriptors,
             descriptors_most,
+            budget,
+            books: RefCell::default(),
         }
     }
 
+    /// Budgets are kept in these books.
+    pub fn keep(&self, books: &Rc<Books>) {
+        self.books.replace(Some(books.clone()));
+    }
+
+    fn on_books(&self) -> BTreeMap<&'static str, u64> {
+        let books = self.books.borrow();
+        let Some(f) = books.as_ref().map(|b| b.figures()) else { return BTreeMap::new() };
+        BTreeMap::from([
+            ("entered", f.entered),
+            ("carried", f.carried),
+            ("spoilt", f.spoilt),
+            ("loops", f.loops),
+            ("too_far", f.too_far),
+            ("granted", f.granted),
+            ("again", f.again),
+            ("lost", f.lost),
+        ])
+    }
+
     /// What came could not be used and was answered with a status.
     pub fn unusable(&self, status: u16) {
         let mut statuses = self.statuses.borrow_mut();
@@ -298,6 +330,10 @@
                 }
             }
         }
+        for (event, count) in self.on_books() {
+            let counter = self.budget.get_or_create(&ByEvent { event });
+            counter.inc_by(count.saturating_sub(counter.get()));
+        }
         self.descriptors.set(gauge(descriptors[0]));
         self.descriptors_most.set(gauge(descriptors[1]));
         let mut text = String::new();
@@ -330,6 +366,7 @@
             requests_open: runs.iter().map(|m| m.open).sum(),
             descriptors: descriptors[0],
             descriptors_max: descriptors[1],
+            budget: self.on_books(),
         };
         // Nothing in it can fail to be written as JSON: keys are text, figures finite.
         serde_json::to_string(&whole).unwrap_or_default()
@@ -438,6 +475,8 @@
     requests_open: usize,
     descriptors: usize,
     descriptors_max: usize,
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    budget: BTreeMap<&'a str, u64>,
 }
 
 #[cfg(test)]
--- a/crates/heathroad/src/engine.rs
+++ b/crates/heathroad/src/engine.rs
@@ -2,9 +2,12 @@
 //! carries out its actions. Keeps the ids, the clock, the timers and each request's life.
 
 use crate::backend::{Attempt, Call, End, Pool, Target};
+use crate::budget::{OnBooks, Purse};
 use crate::counts::{Counts, Final, Moment, Notice, Special};
 use crate::roster::{Health, Host};
 use bytes::Bytes;
+use heathroad_budget::account::Loan;
+use heathroad_budget::wire::Spent;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -65,8 +68,13 @@
     pub received: Instant,
     /// How long its caller waits.
     pub patience: Duration,
+    /// What it may spend, where budgets are kept.
+    pub budget: Option<OnBooks>,
 }
 
+/// A final answer, and what was spent on it where the caller is to know.
+pub type Told = (Answer, Option<Spent>);
+
 /// Milliseconds for the module on a monotonic clock. It starts at the Unix time of the process's start, so that
 /// the starts of backends, which are told in Unix time, lie on it as they are.
 struct Clock {
@@ -94,13 +102,15 @@
 
 /// What a request is owed. The way to the caller is spent by its one answer.
 enum Life {
-    Owed(oneshot::Sender<Answer>),
+    Owed(oneshot::Sender<Told>),
     Over,
 }
 
 struct Out {
     sent: Instant,
     cancel: Option<oneshot::Sender<()>>,
+    /// What it was lent, and the purse that it went with.
+    lent: Option<(Loan, Rc<Purse>)>,
 }
 
 struct Open {
@@ -110,14 +120,19 @@
     attempts: Vec<(BackendId, Option<Out>)>,
     /// How the attempt that ended last did.
     last: Option<Outcome>,
+    /// What it may spend, until its last attempt has ended.
+    budget: Option<OnBooks>,
 }
 
 impl Open {
     /// Gives the answer if one is still owed.
     fn answer(&mut self, answer: Answer) {
         if let Life::Owed(caller) = std::mem::replace(&mut self.life, Life::Over) {
+            // What was tried here and did not help is of no use to try again from above.
+            let failed = !matches!(answer, Answer::Served(_)) && !self.attempts.is_empty();
+            let spent = self.budget.as_ref().and_then(|b| b.spent(failed));
             // A caller that has just left takes no answer; its hang-up says so.
-            let _ = caller.send(answer);
+            let _ = caller.send((answer, spent));
         }
     }
     fn done(&self) -> bool {
@@ -205,36 +220,46 @@
     }
 
     /// Takes a request and waits for its one answer. Dropped before that, the caller has hung up.
-    pub async fn decide(self: &Rc<Self>, incoming: Incoming) -> Answer {
-        let limit = self.last.get().map_or(incoming.patience, |last| {
-            incoming.patience.min(last.saturating_duration_since(incoming.received))
-        });
+    pub async fn decide(self: &Rc<Self>, incoming: Incoming) -> Told {
+        let budget = incoming.budget;
+        let patience = budget.as_ref().map_or(incoming.patience, |b| incoming.patience.min(b.time()));
+        let (spare, worth) = budget.as_ref().map_or((None, 1.0), |b| (Some(b.left()), b.worth()));
+        let limit = self
+            .last
+            .get()
+            .map_or(patience, |last| patience.min(last.saturating_duration_since(incoming.received)));
         let end = incoming.received + limit;
         let deadline = self.clock.at(incoming.received + limit.saturating_sub(MARGIN));
+        // Its time went by while it waited for its turn on its connection: no backend works for nobody.
+        if Instant::now() >= incoming.received + limit.saturating_sub(MARGIN) {
+            self.counts.answered(incoming.class, incoming.tenant, Final::TimedOut);
+            return (Answer::TimedOut, None);
+        }
         let key = incoming.key.map_or(0, |k| hash(&k).max(1));
         let (caller, answer) = oneshot::channel();
         let request = {
             let s = &mut *self.state.borrow_mut();
             if s.requests.len() >= self.facts.site.open_cap {
                 self.counts.answered(incoming.class, incoming.tenant, Final::Refused);
-                return Answer::Refused { retry_after: None };
+                return (Answer::Refused { retry_after: None }, None);
             }
             let id = s.next;
             s.next += 1;
             let call = Rc::new(incoming.call);
-            s.requests.insert(id, Open { call, life: Life::Owed(caller), attempts: Vec::new(), last: None });
+            let life = Life::Owed(caller);
+            s.requests.insert(id, Open { call, life, attempts: Vec::new(), last: None, budget });
             id
         };
         let (class, tenant, received) = (incoming.class, incoming.tenant, incoming.received);
         let mut here = Here { engine: self.clone(), request, class, tenant, answer: Final::Left };
-        self.tell(Event::Request(Arrival { request, key, class, tenant, deadline }));
+        self.tell(Event::Request(Arrival { request, key, class, tenant, deadline, spare, worth }));
         let answer = tokio::select! {
             biased;
-            answer = answer => answer.unwrap_or(Answer::Failed),
+            answer = answer => answer.unwrap_or((Answer::Failed, None)),
             // The module answers in time; this guards against a late loop and against its silence.
-            () = sleep_until(end - BACKSTOP.min(limit)) => Answer::TimedOut,
+            () = sleep_until(end - BACKSTOP.min(limit)) => (Answer::TimedOut, None),
         };
-        here.answer = answer.kind();
+        here.answer = answer.0.kind();
         let aim = millis(self.facts.settings.classes.get(usize::from(class)).map_or(0.0, |c| c.aim));
         if here.answer == Final::Served && received.elapsed() > aim {
             self.counts.after_aim();
@@ -425,10 +450,11 @@
         let sent = Instant::now();
         let target = s.backends.get(&backend).and_then(|k| k.target.as_ref());
         let within = number < self.facts.settings.caps.try_limit as usize;
-        let Some(target) = target.filter(|_| within && matches!(open.life, Life::Owed(_))) else {
+        let may = || number == 0 || open.budget.as_ref().is_none_or(OnBooks::again);
+        let Some(target) = target.filter(|_| within && matches!(open.life, Life::Owed(_)) && may()) else {
             open.attempts.push((backend, None));
             self.counts.ended(Outcome::Moot, None);
-            s.events.push_back(resolved(request, number, backend, Outcome::Moot, 0.0, &open.life));
+            s.events.push_back(resolved(request, number, backend, Outcome::Moot, 0.0, open));
             return;
         };
         if number > 0 {
@@ -439,9 +465,12 @@
             self.counts.sent_cold();
         }
         let (cancel, cancelled) = oneshot::channel();
-        open.attempts.push((backend, Some(Out { sent, cancel: Some(cancel) })));
+        let worth = s.balancer.worth(request);
+        let lent = open.budget.as_ref().and_then(|b| b.lend(worth));
+        let purse = lent.as_ref().map(|(_, purse)| purse.clone());
+        open.attempts.push((backend, Some(Out { sent, cancel: Some(cancel), lent })));
         let (call, target, not_past) = (open.call.clone(), target.clone(), self.clock.instant(not_past));
-        let attempt = Attempt { call, target, not_past, cancelled };
+        let attempt = Attempt { call, target, not_past, cancelled, purse };
         let (engine, pool) = (self.clone(), self.pool.clone());
         let later = self.clone();
         let late = move |end: End| {
@@ -449,7 +478,15 @@
             let wait = sent.elapsed().as_secs_f64() * 1000.0;
             let (attempt, outcome) = (number as u8, end.outcome());
             later.counts.ended_late(outcome);
-            later.tell(Event::Late(Resolved { request, attempt, backend, outcome, wait, closed: true }));
+            later.tell(Event::Late(Resolved {
+                request,
+                attempt,
+                backend,
+                outcome,
+                wait,
+                closed: true,
+                spare: None,
+            }));
         };
         tokio::task::spawn_local(attempt.run(pool, move |end| engine.ended(request, number, end), late));
     }
@@ -463,6 +500,9 @@
             let (backend, Some(out)) = (*backend, out.take()) else { return };
             let outcome = end.outcome();
             open.last = Some(outcome);
+            if let (Some(budget), Some((loan, purse))) = (&open.budget, out.lent) {
+                budget.settle(loan, &purse, outcome.never_ran());
+            }
             let special = match end {
                 End::Rejected => Some(Special::Rejected),
                 End::Sent => Some(Special::Sent),
@@ -476,7 +516,7 @@
                 End::Unserved(_) => {}
             }
             let wait = out.sent.elapsed().as_secs_f64() * 1000.0;
-            let event = resolved(request, number, backend, outcome, wait, &open.life);
+            let event = resolved(request, number, backend, outcome, wait, open);
             s.forget(request);
             event
         };
@@ -490,10 +530,11 @@
     backend: BackendId,
     outcome: Outcome,
     wait: f64,
-    life: &Life,
+    open: &Open,
 ) -> Event {
-    let (attempt, closed) = (number as u8, matches!(life, Life::Over));
-    Event::Resolved(Resolved { request, attempt, backend, outcome, wait, closed })
+    let (attempt, closed) = (number as u8, matches!(open.life, Life::Over));
+    let spare = open.budget.as_ref().map(OnBooks::left);
+    Event::Resolved(Resolved { request, attempt, backend, outcome, wait, closed, spare })
 }
 
 fn hash(text: &str) -> u64 {
@@ -615,8 +656,13 @@
                     body: Bytes::new(),
                 };
                 let life = Life::Over;
-                let open =
-                    Open { call: Rc::new(Call::Http(call)), life, attempts: vec![(id, None)], last: None };
+                let open = Open {
+                    call: Rc::new(Call::Http(call)),
+                    life,
+                    attempts: vec![(id, None)],
+                    last: None,
+                    budget: None,
+                };
                 engine.state.borrow_mut().requests.insert(7, open);
                 engine.list(ListKind::Full, vec![host("s-101", Health::Serving)]);
                 assert_eq!(engine.state.borrow().backends.len(), 2);
--- a/crates/heathroad/src/front.rs
+++ b/crates/heathroad/src/front.rs
@@ -2,11 +2,14 @@
 
 use crate::backend::http;
 use crate::backend::{Call, MAX_BODY};
+use crate::budget::{Books, SPENT};
 use crate::counts::Final;
 use crate::engine::{Answer, Incoming, millis};
 use crate::router::{Ask, Bound, Router};
 use crate::stream::{Progress, Watched};
 use bytes::{Bytes, BytesMut};
+use heathroad_budget::path::Mark;
+use heathroad_routing::split::hash;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming as Inflow};
 use hyper::header::{ALLOW, CONNECTION, HOST, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
@@ -244,6 +247,8 @@
     pub bodies: usize,
     /// Who is there.
     pub room: Rc<Room>,
+    /// Budgets down a chain, where they are kept.
+    pub books: Option<Rc<Books>>,
 }
 
 impl Front {
@@ -291,6 +296,10 @@
 
     async fn connection(self: Rc<Self>, stream: TcpStream, mut stop: watch::Receiver<bool>, crowded: bool) {
         let delay = stream.set_nodelay(true);
+        let inner = match (&self.books, stream.peer_addr()) {
+            (Some(books), Ok(peer)) => books.inner(peer.ip()),
+            _ => false,
+        };
         let watched = Watched::new(TokioIo::new(stream));
         let seated = Seated::new(&self.room, watched.progress());
         let seat = &*seated.seat;
@@ -298,7 +307,7 @@
             return;
         }
         let service = service_fn(async |request| {
-            let reply = self.answer(request, seat, crowded).await;
+            let reply = self.answer(request, seat, crowded, inner).await;
             seat.stage.set(Stage::Rest);
             seat.progress.listen();
             seat.since.set(Instant::now());
@@ -329,6 +338,7 @@
         request: Request<Inflow>,
         seat: &Seat,
         crowded: bool,
+        inner: bool,
     ) -> Result<Reply, Infallible> {
         // A request that came behind another has waited for its turn since it was read.
         let received = seat.progress.heard().unwrap_or_else(Instant::now);
@@ -338,7 +348,7 @@
             return Ok(plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }));
         }
         seat.stage.set(Stage::Body);
-        let mut reply = match self.read(request, seat, received).await {
+        let mut reply = match self.read(request, seat, received, inner).await {
             Err(reply) => {
                 self.router.meter().unusable(reply.status().as_u16());
                 *reply
@@ -350,9 +360,13 @@
             Ok((incoming, _held, bound)) => {
                 seat.stage.set(Stage::Taken);
                 let _taken = Taken::new(&self.room);
-                let answer = bound.engine.decide(incoming).await;
+                let (answer, spent) = bound.engine.decide(incoming).await;
                 seat.served.set(seat.served.get() || matches!(answer, Answer::Served(_)));
-                write(answer)
+                let mut reply = write(answer);
+                if let Some(value) = spent.and_then(|s| HeaderValue::try_from(s.to_string()).ok()) {
+                    reply.headers_mut().insert(SPENT, value);
+                }
+                reply
             }
         };
         if crowded {
@@ -375,6 +389,7 @@
         request: Request<Inflow>,
         seat: &Seat,
         received: Instant,
+        inner: bool,
     ) -> Result<(Incoming, Held, Bound), Box<Reply>> {
         let (head, body) = request.into_parts();
         let wrong = |status| Box::new(closing(status));
@@ -444,9 +459,14 @@
         };
         let host = head.headers.get(HOST).cloned();
         let uri = head.uri.path_and_query().cloned().map(Uri::from).ok_or_else(bad)?;
-        let call = Call::Http(http::Call { method, uri, host, id, key, body });
         let (class, tenant) = (bound.class, tenant as u16);
-        Ok((Incoming { call, class, tenant, key: about, received, patience }, held, bound))
+        let enter = |books: &Rc<Books>| {
+            let mark = Mark { key: about.as_deref().map_or(0, |k| hash(k.as_bytes())), class, tenant };
+            books.enter(&head.headers, inner, mark, patience).map_err(|why| Box::new(looped(why)))
+        };
+        let budget = self.books.as_ref().map(enter).transpose()?;
+        let call = Call::Http(http::Call { method, uri, host, id, key, body });
+        Ok((Incoming { call, class, tenant, key: about, received, patience, budget }, held, bound))
     }
 }
 
@@ -512,6 +532,14 @@
     reply
 }
 
+/// The end of a request that has come round. No other way leads out of a loop.
+fn looped(why: String) -> Reply {
+    let mut reply = Response::new(Full::from(why));
+    *reply.status_mut() = StatusCode::LOOP_DETECTED;
+    reply.headers_mut().insert(SPENT, HeaderValue::from_static("a=0, stop"));
+    reply
+}
+
 /// An answer to what can't be used, after which nothing more is read.
 fn closing(status: StatusCode) -> Reply {
     let mut reply = plain(status);
--- a/crates/heathroad/src/main.rs
+++ b/crates/heathroad/src/main.rs
@@ -17,6 +17,7 @@
 
 mod admin;
 mod backend;
+mod budget;
 mod cli;
 mod config;
 mod counts;
@@ -35,6 +36,7 @@
 mod stream;
 
 use backend::Pool;
+use budget::Books;
 use clap::Parser;
 use cli::{Cli, Command};
 use config::Config;
@@ -45,6 +47,7 @@
 use heathroad_routing::transaction::Event;
 use hyper::Method;
 use router::{Many, Router};
+use std::hash::{BuildHasher, Hasher, RandomState};
 use std::io::Write;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -176,6 +179,11 @@
     Ok(Lists::One { engine, must_ask, wanted, following })
 }
 
+/// Differs between processes: loans are known by numbers that no two proxies should give.
+fn seed() -> u64 {
+    RandomState::new().build_hasher().finish()
+}
+
 fn follow(
     engine: &Rc<Engine>,
     address: SocketAddr,
@@ -252,6 +260,10 @@
             kept.engines().iter().for_each(|e| e.forget_gone());
         }
     });
+    let books = config.budget.as_ref().map(|b| Books::new(b, seed()));
+    if let Some(books) = &books {
+        router.meter().keep(books);
+    }
     let (stop, stopped) = watch::channel(false);
     let (connections, bodies, room) = (usable - usable / 2, config.memory / BODIES, Rc::default());
     let calling = match &*router {
@@ -262,7 +274,7 @@
             Some(spawn_local(Rc::new(front).serve(stopped.clone())))
         }
     };
-    let front = Front { router: router.clone(), facts, connections, bodies, room };
+    let front = Front { router: router.clone(), facts, connections, bodies, room, books };
     let serving = spawn_local(Rc::new(front).serve(listener, stopped));
     loop {
         tokio::select! {
--- a/crates/heathroad/src/rpc.rs
+++ b/crates/heathroad/src/rpc.rs
@@ -577,7 +577,7 @@
         let Member { id, incoming, bound } = member;
         let _taken = Taken::new(&self.door.front.room);
         let mut refused = false;
-        let member = match bound.engine.decide(incoming).await {
+        let member = match bound.engine.decide(incoming).await.0 {
             Answer::Served(member) => member,
             Answer::Refused { retry_after } => {
                 refused = true;
@@ -648,7 +648,10 @@
         let notification = call.id.is_none();
         let call = rpc::Call { method: call.method_text, params: call.params, notification, way };
         let (class, tenant, patience) = (bound.class, place as u16, bound.deadline.unwrap_or_default());
-        Ok((Incoming { call: Outward::Rpc(call), class, tenant, key, received, patience }, bound))
+        Ok((
+            Incoming { call: Outward::Rpc(call), class, tenant, key, received, patience, budget: None },
+            bound,
+        ))
     }
 }
 
--- a/crates/heathroad/tests/rig/mod.rs
+++ b/crates/heathroad/tests/rig/mod.rs
@@ -2,6 +2,7 @@
 //! models anything: a backend does what a test tells it to, and tests wait for what they see.
 #![allow(dead_code, reason = "each test file uses its part of it")]
 
+pub mod chain;
 pub mod rpc;
 pub mod scene;
 
--- a/crates/turnshift/src/api.rs
+++ b/crates/turnshift/src/api.rs
@@ -26,6 +26,8 @@
     pub zone: u16,
     /// Shortest time between two rounds of events.
     pub tick: f64,
+    /// Requests may come with a part of their worth, as those before this copy found it.
+    pub worth_carried: bool,
     /// Whether the list of backends must be asked for ([`Action::Watch`]) rather than being pushed.
     pub must_ask: bool,
     /// What a request beyond its tenant's quota is worth, as a share of its class's worth.
@@ -214,6 +216,10 @@
     pub tenant: u16,
     /// When its client gives up.
     pub deadline: f64,
+    /// Most attempts beyond the first, where it carries a budget.
+    pub spare: Option<u32>,
+    /// Its worth, as a share of its class's.
+    pub worth: f64,
 }
 
 /// How an attempt ended.
@@ -231,6 +237,8 @@
     pub wait: f64,
     /// The request is over; nothing more is owed.
     pub closed: bool,
+    /// How many further attempts its budget has now, where it carries one: what went out below came off.
+    pub spare: Option<u32>,
 }
 
 /// What the copy is told.
--- a/crates/turnshift/src/balancer.rs
+++ b/crates/turnshift/src/balancer.rs
@@ -37,6 +37,8 @@
 const COLD_MARGIN: f64 = 0.5; // part of the cold budget used: backends are unlike, handshakes count
 const RETRY_SHARE: f64 = 0.1; // repeats of what may have run, as a share of requests: no storm
 const RETRY_DEPTH: f64 = 10.0;
+const LOW_WORTH: f64 = 0.5; // of its class's: what those before this copy hold for less goes with the low
+const DOOMED: f64 = 0.5; // of the baseline: one with less time left than that gets no answer
 
 impl Backend {
     fn ejected(&self) -> bool {
@@ -143,7 +145,8 @@
         // The goal's weight on the worst-served class is worth that every class has alike.
         let worth = |c: &Class| (1.0 - even) * c.points / mean.max(1e-9) + even;
         let worths: Vec<[f64; 2]> = settings.classes.iter().map(|c| [worth(c), worth(c) * over]).collect();
-        let demoted = usize::from(settings.tier == 0 && !settings.tenants.is_empty());
+        let demoted =
+            usize::from(settings.tier == 0 && !settings.tenants.is_empty() || settings.worth_carried);
         let mut levels: Vec<f64> = worths.iter().flat_map(|w| w[..=demoted].to_vec()).collect();
         levels.sort_by(|a, b| b.total_cmp(a));
         levels.dedup_by(|a, b| (*a - *b).abs() < 1e-9);
@@ -212,6 +215,13 @@
         Load { limit, in_flight: self.inflight, slices: self.slices.iter().map(slice).collect() }
     }
 
+    /// What a request is worth, as a share of its class's: for those that it is sent on to.
+    pub fn worth(&self, request: RequestId) -> f64 {
+        let r = self.requests.get(&request);
+        let low = r.is_some_and(|r| r.slice != self.slice_of[r.class][0]);
+        if low { self.s.over_share_worth } else { 1.0 }
+    }
+
     /// So many balancers of one proxy send to some backend of this one's: each keeps to its part of the
     /// cold budget.
     pub fn share_cold(&mut self, sharers: usize) {
@@ -319,7 +329,8 @@
         let tenant = usize::from(arrival.tenant);
         let over = self.s.tier == 0 && self.over_quota(now, tenant);
         let paid = (self.s.tier == 0 && !over && tenant < self.buckets.len()).then_some(tenant);
-        let slice = self.slice_of[class][usize::from(over)];
+        let low = over || self.s.worth_carried && arrival.worth < LOW_WORTH;
+        let slice = self.slice_of[class][usize::from(low)];
         let last = arrival.deadline - 2.0 * self.period();
         // Order: behind another request of its key it waits in that key's line and holds no slot.
         let key = if in_order { arrival.key } else { 0 };
@@ -333,9 +344,14 @@
         // With room but no backend or no turn, held while an answer can still be in time.
         let hold = if free || behind { aim - self.limiter.mean } else { self.hold };
         let hold_until = (now + hold).min(last);
-        let (deadline, attempts) = (arrival.deadline, Vec::new());
-        let r = Request { key, class, slice, paid, deadline, hold_until, ended: false, attempts };
+        let (deadline, spare, attempts) = (arrival.deadline, arrival.spare, Vec::new());
+        let r = Request { key, class, slice, paid, deadline, hold_until, ended: false, spare, attempts };
         self.requests.insert(id, r);
+        // Less time than even an empty backend takes: its work would be for nobody.
+        let c = &self.limiter.classes[class];
+        if spare.is_some() && c.samples >= WINDOW && deadline - now < DOOMED * c.base {
+            return self.finish(now, id, out);
+        }
         if free && self.send(now, id, out) {
             return;
         }
@@ -409,9 +425,16 @@
 
     /// Sends the next attempt if a backend can take it.
     fn send(&mut self, now: f64, id: RequestId, out: &mut Vec<Action>) -> bool {
+        let spent = |r: &Request| r.spare == Some(0) && !r.attempts.is_empty();
+        if self.requests.get(&id).is_none_or(spent) {
+            return false;
+        }
         let Some(to) = self.pick(now, id) else { return false };
         let Some(r) = self.requests.get_mut(&id) else { return false };
         let Some(b) = self.backends.get_mut(&to) else { return false };
+        if let Some(spare) = r.spare.as_mut().filter(|_| !r.attempts.is_empty()) {
+            *spare = spare.saturating_sub(1);
+        }
         b.cold_tokens -= 1.0; // means nothing once it is warm
         if b.calls.is_empty() {
             b.heard = now;
@@ -487,7 +510,8 @@
         let over = e.closed || r.ended;
         let (hold_until, free_move) = (r.hold_until, r.attempts.iter().all(|a| a.never_ran));
         let still_out = r.attempts.iter().any(|a| a.out);
-        let spare = r.attempts.len() < self.s.caps.try_limit as usize;
+        r.spare = e.spare.or(r.spare);
+        let spare = r.attempts.len() < self.s.caps.try_limit as usize && r.spare != Some(0);
         if counted {
             self.count(class, slice, -1.0);
         }
@@ -535,6 +559,8 @@
             (Some(_), Effect::Fragile) => false,
         };
         let left = r.attempts.len() < self.s.caps.try_limit as usize && now + self.s.tick < r.deadline;
+        // One that carries a budget was granted its attempts where it entered, for the whole chain.
+        let free_move = free_move || r.spare.is_some();
         let sent = left && allowed && (free_move || self.retry_tokens >= 1.0) && self.send(now, id, out);
         if sent && !free_move {
             self.retry_tokens -= 1.0;
--- a/crates/turnshift/src/bin/turnshift-drill/wire.rs
+++ b/crates/turnshift/src/bin/turnshift-drill/wire.rs
@@ -220,7 +220,7 @@
                 r.u8("stateBits")?;
                 r.f64("predicted")?;
                 let (tenant, deadline) = (r.u16("customer")?, r.f64("clientDeadline")?);
-                Event::Request(Arrival { request, key, class, tenant, deadline })
+                Event::Request(Arrival { request, key, class, tenant, deadline, spare: None, worth: 1.0 })
             }
             4 => {
                 r.u64("xid")?;
@@ -237,7 +237,7 @@
                 let attempt = r.u8("hop")?;
                 let backend = r.u32("backend")?;
                 r.report()?;
-                Event::Resolved(Resolved { request, attempt, backend, outcome, wait, closed })
+                Event::Resolved(Resolved { request, attempt, backend, outcome, wait, closed, spare: None })
             }
             6 => Event::Hangup { request: r.u64("xid")? },
             7 => Event::Wake { token: r.u64("nonce")? },
--- a/crates/turnshift/src/lib.rs
+++ b/crates/turnshift/src/lib.rs
@@ -36,7 +36,7 @@
 //!
 //! // A request: here it is sent at once.
 //! actions.clear();
-//! let arrival = Arrival { request: 7, key: 0, class: 0, tenant: 0, deadline: 1000.0 };
+//! let arrival = Arrival { request: 7, key: 0, class: 0, tenant: 0, deadline: 1000.0, spare: None, worth: 1.0 };
 //! balancer.handle(10.0, Event::Request(arrival), &mut actions);
 //! let Some(&Action::Send { request: 7, backend, .. }) = actions.first() else { panic!("sent") };
 //!
@@ -52,6 +52,7 @@
 //!     outcome: Outcome::Ok,
 //!     wait: 80.0,
 //!     closed: true,
+//!     spare: None,
 //! };
 //! actions.clear();
 //! balancer.handle(90.0, Event::Resolved(resolved), &mut actions);
--- a/crates/turnshift/src/settings.rs
+++ b/crates/turnshift/src/settings.rs
@@ -208,6 +208,7 @@
         tier: f.tier,
         zone: f.locality,
         tick: f.tick,
+        worth_carried: false, // by the embedding proxy
         must_ask: matches!(f.discovery, Discovery::Subscribe),
         over_share_worth: f.over_share_worth,
         classes: f.classes.into_iter().map(class).collect(),
--- a/crates/turnshift/src/state.rs
+++ b/crates/turnshift/src/state.rs
@@ -38,6 +38,7 @@
     pub deadline: f64,
     pub hold_until: f64,
     pub ended: bool,
+    pub spare: Option<u32>, // further attempts that its budget has
     pub attempts: Vec<Attempt>,
 }
 
--- a/crates/turnshift/tests/decisions.rs
+++ b/crates/turnshift/tests/decisions.rs
@@ -602,3 +602,60 @@
     };
     assert_eq!((limit(200.0), limit(3.0)), (200.0, limit(0.0)));
 }
+
+/// What a request may send again is what it was granted, and not what this copy saved up; what is told with an outcome counts.
+#[test]
+fn a_budget_bounds_what_is_sent_again() {
+    for (spare, most) in [(Some(0), 1), (Some(2), 3), (None, 6)] {
+        let mut p = Proxy::new(plain(1), 1, entries(10));
+        let id = p.ask_with(0, 0, 0, 1e5, spare, 1.0);
+        while let Some((_, n, _)) = p.out().into_iter().find(|(i, ..)| *i == id) {
+            p.resolve(id, n, Outcome::Full);
+        }
+        assert!(p.asked[&id].sends.len() <= most, "{spare:?}: {} sends", p.asked[&id].sends.len());
+        assert!(spare.is_none() || p.asked[&id].sends.len() == most, "{spare:?}");
+        assert!(p.asked[&id].ended.is_some(), "{spare:?}: it is answered at once and not held for nothing");
+    }
+    // Spent below: a tier that can't be of help passes the failure up.
+    let mut p = Proxy::new(plain(1), 1, entries(10));
+    let id = p.ask_with(0, 0, 0, 1e5, Some(3), 1.0);
+    let backend = p.out()[0].2.backend;
+    let (outcome, wait, closed, spare) = (Outcome::Error, 1.0, false, Some(0));
+    p.asked.get_mut(&id).expect("asked").sends[0].outcome = Some(outcome);
+    p.tell(Event::Resolved(Resolved { request: id, attempt: 0, backend, outcome, wait, closed, spare }));
+    assert_eq!((p.asked[&id].sends.len(), p.asked[&id].ended.is_some()), (1, true));
+}
+
+/// Low worth from above is low worth here: with the limit full, it is what waits.
+#[test]
+fn worth_is_carried_down() {
+    let mut settings = plain(1);
+    (settings.worth_carried, settings.over_share_worth, settings.tier) = (true, 0.05, 1);
+    let mut p = Proxy::new(settings, 1, entries(10));
+    for _ in 0..400 {
+        p.ask_with(0, 0, 0, 1e5, Some(1), 0.05);
+    }
+    let low = p.out().len();
+    let id = p.ask_with(0, 0, 0, 1e5, Some(1), 1.0);
+    assert_eq!(
+        p.asked[&id].sends.len(),
+        1,
+        "past the total, within a share of its own that the low do not fill"
+    );
+    let id = p.ask_with(0, 0, 0, 1e5, Some(1), 0.05);
+    assert!(p.asked[&id].sends.is_empty() && low < 400, "{low}");
+}
+
+/// A request without the time that even an empty backend takes is refused while that is harmless; without a budget it is tried
+/// as ever.
+#[test]
+fn what_can_not_be_in_time_is_refused_early() {
+    let mut p = Proxy::new(plain(1), 1, entries(10));
+    p.serve(2_000.0, 1, 0, 100.0);
+    let id = p.ask_with(0, 0, 0, 20.0, Some(1), 1.0);
+    assert!(p.asked[&id].sends.is_empty() && p.asked[&id].ended.is_some());
+    let id = p.ask_with(0, 0, 0, 1_000.0, Some(1), 1.0);
+    assert_eq!(p.asked[&id].sends.len(), 1);
+    let id = p.ask_with(0, 0, 0, 20.0, None, 1.0);
+    assert_eq!(p.asked[&id].sends.len(), 1);
+}
