Budgets over JSON-RPC, loops of the configuration found by check; chains in the rehearsal kit

Need: a chain may change protocol on its way, and a pool that names the daemon itself is a loop before any request comes.

Change: req-budget, req-path and req-spent as members of the envelope (budget = true in [pool.rpc]); a call that has come round is answered with -32008. A file whose pool leads back to a listener of the daemon is turned down by check, start and apply. The kit's stand-ins copy the headers; scenarios may keep budgets, and expect attempts_multiple and loops_open. Scenarios chain-outage and chain-slow.

Result: a loop by way of HTTP and JSON-RPC ends within one pass.

--- a/crates/heathroad-jsonrpc/src/message.rs
+++ b/crates/heathroad-jsonrpc/src/message.rs
@@ -38,6 +38,18 @@
     pub method_text: Bytes,
     /// Its parameters as they stand.
     pub params: Option<Bytes>,
+    /// What it carries down a chain, beside the specification's members.
+    pub carried: Carried,
+}
+
+/// Members of an extension: budgets down a chain of services, as the texts that HTTP has in headers of the same names. A
+/// member that is no plain text, or comes twice, is there and empty.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Carried {
+    /// `req-budget`, without its quotes.
+    pub budget: Option<Bytes>,
+    /// `req-path`, without its quotes.
+    pub path: Option<Bytes>,
 }
 
 /// What can't be taken, with the code to answer.
@@ -80,6 +92,8 @@
     pub code: Option<i64>,
     /// Whether it is an error.
     pub error: bool,
+    /// `req-spent`, without its quotes, where it is told.
+    pub spent: Option<Bytes>,
 }
 
 /// The members of an envelope, as they stand. Others are passed over; one that comes twice is told.
@@ -92,6 +106,34 @@
     result: Option<&'a RawValue>,
     error: Option<&'a RawValue>,
     twice: bool,
+    budget: Extra<'a>,
+    path: Extra<'a>,
+    spent: Extra<'a>,
+}
+
+/// A member that spoils nothing but itself.
+#[derive(Default, Clone, Copy)]
+enum Extra<'a> {
+    #[default]
+    None,
+    Once(&'a RawValue),
+    Twice,
+}
+
+impl<'a> Extra<'a> {
+    fn put(&mut self, value: &'a RawValue) {
+        *self = if matches!(self, Extra::None) { Extra::Once(value) } else { Extra::Twice };
+    }
+
+    fn text(self, whole: &Bytes) -> Option<Bytes> {
+        let value = match self {
+            Extra::None => return None,
+            Extra::Once(value) => part(whole, value),
+            Extra::Twice => return Some(Bytes::new()),
+        };
+        let plain = value.len() >= 2 && value.starts_with(b"\"") && !value.contains(&b'\\');
+        Some(if plain { value.slice(1..value.len() - 1) } else { Bytes::new() })
+    }
 }
 
 impl<'de> Deserialize<'de> for Envelope<'de> {
@@ -112,6 +154,18 @@
                         Known::Params => &mut e.params,
                         Known::Result => &mut e.result,
                         Known::Error => &mut e.error,
+                        Known::Budget => {
+                            e.budget.put(map.next_value()?);
+                            continue;
+                        }
+                        Known::Path => {
+                            e.path.put(map.next_value()?);
+                            continue;
+                        }
+                        Known::Spent => {
+                            e.spent.put(map.next_value()?);
+                            continue;
+                        }
                         Known::Other => {
                             map.next_value::<IgnoredAny>()?;
                             continue;
@@ -133,6 +187,9 @@
     Params,
     Result,
     Error,
+    Budget,
+    Path,
+    Spent,
     Other,
 }
 
@@ -145,6 +202,9 @@
             "params" => Known::Params,
             "result" => Known::Result,
             "error" => Known::Error,
+            "req-budget" => Known::Budget,
+            "req-path" => Known::Path,
+            "req-spent" => Known::Spent,
             _ => Known::Other,
         }
     }
@@ -257,7 +317,8 @@
         return invalid("a call without `result` or `error`");
     }
     let (method_text, params) = (part(text, method), e.params.map(|p| part(text, p)));
-    Ok(Call { id, method: name, method_text, params })
+    let carried = Carried { budget: e.budget.text(text), path: e.path.text(text) };
+    Ok(Call { id, method: name, method_text, params, carried })
 }
 
 /// Reads a server's text.
@@ -284,5 +345,6 @@
     let error = name == "error";
     let code = serde_json::from_str::<Code>(value.get()).ok().filter(|_| error).map(|c| c.code);
     let member = [b"\"", name.as_bytes(), b"\":", value.get().as_bytes()].concat().into();
-    Reply::Answer(Answer { id: part(text, id), member, code, error })
+    let spent = e.spent.text(text);
+    Reply::Answer(Answer { id: part(text, id), member, code, error, spent })
 }
--- a/crates/heathroad-jsonrpc/src/write.rs
+++ b/crates/heathroad-jsonrpc/src/write.rs
@@ -23,6 +23,19 @@
     format!("\"error\":{error}").into()
 }
 
+/// A call's members of the extension for budgets, to be put before its end: plain texts, which need no escapes.
+pub fn carry(call: &mut BytesMut, budget: &str, path: &str) {
+    if call.last() == Some(&b'}') {
+        call.truncate(call.len() - 1);
+        call.put_slice(format!(",\"req-budget\":\"{budget}\",\"req-path\":\"{path}\"}}").as_bytes());
+    }
+}
+
+/// What was spent, behind the member of an answer.
+pub fn spent(member: &[u8], spent: &str) -> Bytes {
+    [member, b",\"req-spent\":\"", spent.as_bytes(), b"\""].concat().into()
+}
+
 /// A call under an id of the sender's own, or a notification where there is none; `method` in quotes.
 pub fn call(id: Option<u64>, method: &[u8], params: Option<&[u8]>, out: &mut BytesMut) {
     out.reserve(method.len() + params.map_or(0, <[u8]>::len) + 64);
--- a/crates/heathroad-rehearsal/src/caller.rs
+++ b/crates/heathroad-rehearsal/src/caller.rs
@@ -40,6 +40,8 @@
     pub hang_up: Option<Micros>,
     /// So long is taken for reading.
     pub slow: Micros,
+    /// `Req-Budget` and `Req-Path`, copied from the request that it is made for.
+    pub carried: [Option<String>; 2],
 }
 
 /// How a call went.
@@ -52,6 +54,8 @@
     pub end: End,
     /// When.
     pub ended: Micros,
+    /// `Req-Spent`, as it came.
+    pub spent: Option<String>,
 }
 
 struct Kept {
@@ -110,7 +114,7 @@
 
     /// Makes one call.
     pub async fn call(self: &Rc<Self>, clock: Clock, to: SocketAddr, ask: &Ask) -> Told {
-        let (sent, crossed) = (Cell::new(None), Cell::new(None));
+        let (sent, crossed, spent) = (Cell::new(None), Cell::new(None), Cell::new(None));
         let patience = Duration::from_micros(ask.patience);
         let limit = patience + Duration::from_micros(ask.slow) + PAST + CONNECT;
         let call = async {
@@ -122,14 +126,14 @@
             };
             tokio::select! {
                 biased;
-                end = self.exchange(clock, to, ask, &sent, &crossed) => end,
+                end = self.exchange(clock, to, ask, &sent, &crossed, &spent) => end,
                 () = hang_up => if sent.get().is_some() { End::HungUp } else { End::Unsent },
             }
         };
         let end = timeout(limit, call).await;
         let (sent, crossed) = (sent.get(), crossed.get());
         let end = end.unwrap_or(if sent.is_some() { End::Silence } else { End::Unsent });
-        Told { sent, crossed, end, ended: clock.now() }
+        Told { sent, crossed, end, ended: clock.now(), spent: spent.take() }
     }
 
     async fn exchange(
@@ -139,6 +143,7 @@
         ask: &Ask,
         sent: &Cell<Option<Micros>>,
         crossed: &Cell<Option<Micros>>,
+        spent: &Cell<Option<String>>,
     ) -> End {
         let mut reused = self.reuse(to);
         loop {
@@ -174,6 +179,7 @@
                 Ok(Err(Broken::Ended(begun))) => return End::Broken(begun),
                 Ok(Ok(response)) => response,
             };
+            spent.set(response.spent);
             let end = match response.status {
                 200 => served(ask.id, &response.body),
                 429 | 503 => End::Refused { after: response.retry_after.map(seconds) },
@@ -223,6 +229,9 @@
         if self.retry {
             head += "Req-Retry: 1\r\n";
         }
+        for (name, value) in ["Req-Budget", "Req-Path"].iter().zip(&self.carried) {
+            head += &value.as_ref().map_or(String::new(), |v| format!("{name}: {v}\r\n"));
+        }
         if !self.safe {
             head += "Content-Length: 0\r\n";
         }
--- a/crates/heathroad-rehearsal/src/http.rs
+++ b/crates/heathroad-rehearsal/src/http.rs
@@ -30,6 +30,8 @@
     pub body: usize,
     /// Its id as it stands, where it is a call over JSON-RPC.
     pub rpc: Option<String>,
+    /// `Req-Budget` and `Req-Path`, to be copied as they are.
+    pub carried: [Option<String>; 2],
 }
 
 /// An answer as a client reads it.
@@ -39,6 +41,8 @@
     pub status: u16,
     /// `Retry-After`, in seconds.
     pub retry_after: Option<f64>,
+    /// `Req-Spent`, to be copied as it is.
+    pub spent: Option<String>,
     /// The connection ends with it.
     pub close: bool,
     /// Its body.
@@ -141,6 +145,7 @@
             deadline_ms: None,
             body: line.len(),
             rpc: Some(call["id"].to_string()),
+            carried: [None, None],
         })
     }
 
@@ -198,6 +203,7 @@
         deadline_ms: text(head.headers, "req-deadline-ms").and_then(|v| v.parse().ok()),
         body: 0,
         rpc: None,
+        carried: ["req-budget", "req-path"].map(|name| text(head.headers, name).map(str::to_string)),
     };
     Ok(Some((request, end, length(head.headers)?)))
 }
@@ -212,6 +218,7 @@
     let status = head.code.unwrap_or_default();
     let response = Response {
         status,
+        spent: text(head.headers, "req-spent").map(str::to_string),
         retry_after: text(head.headers, "retry-after").and_then(|v| v.parse().ok()),
         close: text(head.headers, "connection").is_some_and(|v| v.eq_ignore_ascii_case("close")),
         body: Vec::new(),
--- a/crates/heathroad-rehearsal/src/load.rs
+++ b/crates/heathroad-rehearsal/src/load.rs
@@ -220,7 +220,7 @@
                 let tenant = self.plan.scenario.tenant[usize::from(first.tenant)].name.clone();
                 let call = Call { id, method: class.name.clone(), tenant, key, patience };
                 let remote::Told { sent, crossed, end, ended } = self.remote.call(addr, &call).await;
-                (proxy, Some(Told { sent, crossed, end, ended }))
+                (proxy, Some(Told { sent, crossed, end, ended, spent: None }))
             }
             Some((proxy, addr, _)) => {
                 let ask = Ask {
@@ -233,6 +233,7 @@
                     retry: retry > 0,
                     hang_up: first.hang_up.filter(|_| retry == 0).map(|h| (h * patience as f64) as Micros),
                     slow,
+                    carried: [None, None],
                 };
                 (proxy, Some(self.caller.call(self.clock, addr, &ask).await))
             }
--- a/crates/heathroad-rehearsal/src/outcome.rs
+++ b/crates/heathroad-rehearsal/src/outcome.rs
@@ -258,6 +258,8 @@
             "changes_committed" => Some(changes("is committed")),
             "changes_undone" => Some(changes("is undone by")),
             "changes_given_up" => Some(changes("given up")),
+            "attempts_multiple" => Some(multiple(seen)),
+            "loops_open" => Some(counted(seen, |v| v["budget"]["loops"].as_f64())),
             other => verdict.figure(other),
         };
         let Some(figure) = figure else { continue };
@@ -272,6 +274,25 @@
     list
 }
 
+/// A figure of the daemons' own counts, summed.
+fn counted(seen: &Seen, of: impl Fn(&serde_json::Value) -> Option<f64>) -> f64 {
+    seen.counts.iter().filter_map(|c| of(c.counts.as_ref()?)).sum()
+}
+
+/// Attempts over all tiers, as the daemons counted them, beside one for each tier and request that came to the first.
+fn multiple(seen: &Seen) -> f64 {
+    let attempts = |v: &serde_json::Value| {
+        let by = v["attempts"].as_object()?;
+        Some(by.iter().filter(|(how, _)| *how != "unsent").filter_map(|(_, n)| n.as_f64()).sum::<f64>())
+    };
+    let first = |c: &&crate::stage::Counted| seen.proxy_tier.get(usize::from(c.proxy)) == Some(&0);
+    let rows = |v: &serde_json::Value| {
+        Some(v["requests"].as_array()?.iter().filter_map(|r| r["count"].as_f64()).sum::<f64>())
+    };
+    let asked: f64 = seen.counts.iter().filter(first).filter_map(|c| rows(c.counts.as_ref()?)).sum();
+    counted(seen, attempts) / (asked * seen.plan.scenario.tier.len() as f64).max(1.0)
+}
+
 /// Why a rehearsal means nothing: who was to measure did not keep up.
 fn void(seen: &Seen) -> Vec<String> {
     let mut why = Vec::new();
--- a/crates/heathroad-rehearsal/src/scenario.rs
+++ b/crates/heathroad-rehearsal/src/scenario.rs
@@ -18,6 +18,8 @@
     ("batch-claims", include_str!("../../../rehearsals/batch-claims.toml")),
     ("vanish-mid-reply", include_str!("../../../rehearsals/vanish-mid-reply.toml")),
     ("undo-meets-drain", include_str!("../../../rehearsals/undo-meets-drain.toml")),
+    ("chain-outage", include_str!("../../../rehearsals/chain-outage.toml")),
+    ("chain-slow", include_str!("../../../rehearsals/chain-slow.toml")),
     ("any-night", include_str!("../../../rehearsals/any-night.toml")),
     ("flood", include_str!("../../../rehearsals/flood.toml")),
     ("short", include_str!("../../../rehearsals/short.toml")),
@@ -44,6 +46,9 @@
     pub clients: Clients,
     /// Figures of the four rules.
     pub rules: Rules,
+    /// Budgets carried down the chain, where they are kept; stand-ins copy their headers.
+    #[serde(default)]
+    pub budget: Option<Budget>,
     /// Routes and pools of the first tier's proxies, as the text of their file; else each has the one pool.
     #[serde(default)]
     pub routes: Option<String>,
@@ -203,6 +208,18 @@
     pub backends: u16,
 }
 
+/// What proxies keep to of budgets.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Budget {
+    /// Most attempts beyond the first that a request is granted.
+    pub attempts: u16,
+    /// Attempts granted for each first try, in the long run.
+    pub share: f64,
+    /// Attempts that a calm saves up.
+    pub depth: f64,
+}
+
 /// A change of routes.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -464,6 +481,8 @@
     "changes_committed",
     "changes_undone",
     "changes_given_up",
+    "attempts_multiple",
+    "loops_open",
 ];
 
 /// Reads a scenario by its shipped name or its file.
--- a/crates/heathroad-rehearsal/src/stage.rs
+++ b/crates/heathroad-rehearsal/src/stage.rs
@@ -397,7 +397,14 @@
             _ => Vec::new(),
         };
         let tier = &s.tier[slot.tier];
+        // Clients come from outside; whoever calls a proxy behind the first tier is a server of the chain.
+        let inner: &[&str] = if slot.tier == 0 { &[] } else { &["127.0.0.1"] };
+        let budget = s.budget.as_ref().map(|b| {
+            json!({"name": format!("to-{}", tier.name), "inner": inner, "lends": slot.tier + 1 < s.tier.len(),
+                "attempts": b.attempts, "share": b.share, "depth": b.depth})
+        });
         json!({
+            "budget": budget,
             "name": slot.name, "listen": "127.0.0.1:0", "admin": "127.0.0.1:0",
             "discovery": registry.to_string(),
             "seed": format!("{:x}", crate::stand_in::backend::mix(plan.seed, slot.copy as u64 + 1)),
--- a/crates/heathroad-rehearsal/src/stand_in/backend.rs
+++ b/crates/heathroad-rehearsal/src/stand_in/backend.rs
@@ -488,11 +488,15 @@
         };
         let _works = Counted::one(&self.in_work);
         self.machine.work(work as f64 / 2.0).await;
+        let mut spent = None;
         for call in 0..tier.calls {
-            if !self.call(id, mark, call, class, request, now).await {
-                return (reply(request, 500, &head(), ""), Answer::Error);
+            let (served, told) = self.call(id, mark, call, class, request, now).await;
+            spent = told.or(spent);
+            if !served {
+                return (reply(request, 500, &with(head(), &spent), ""), Answer::Error);
             }
         }
+        let head = || with(head(), &spent);
         self.machine.work(work as f64 / 2.0).await;
         match drawn {
             d if d < decline + cut => (reply(request, 200, &head(), &body(id, mark)), Answer::Cut),
@@ -501,7 +505,7 @@
         }
     }
 
-    /// Calls the next tier for a request; whether it was served.
+    /// Calls the next tier for a request; whether it was served, and what it was told of budgets.
     async fn call(
         &self,
         parent: u64,
@@ -510,8 +514,8 @@
         class: u16,
         of: &Request,
         since: Micros,
-    ) -> bool {
-        let Some((proxy, addr)) = self.side.get() else { return false };
+    ) -> (bool, Option<String>) {
+        let Some((proxy, addr)) = self.side.get() else { return (false, None) };
         let (plan, clock) = (&self.world.plan, self.world.clock);
         let passed = clock.now().saturating_sub(since) + HOP;
         let patience = (of.deadline_ms.unwrap_or(0) * 1000).saturating_sub(passed);
@@ -529,6 +533,7 @@
             retry: false,
             hang_up: None,
             slow: 0,
+            carried: of.carried.clone(),
         };
         let due = clock.now();
         let told = self.caller.call(clock, addr, &ask).await;
@@ -552,7 +557,7 @@
             ended: told.ended,
             extra: false,
         });
-        served
+        (served, told.spent)
     }
 
     /// The requests behind whose answer something came on its connections to the next tier's proxy.
@@ -561,6 +566,11 @@
     }
 }
 
+/// A head with what was spent, as it was told.
+fn with(head: String, spent: &Option<String>) -> String {
+    spent.as_ref().map_or(head.clone(), |s| format!("{head}Req-Spent: {s}\r\n"))
+}
+
 /// A number made of two; never 0.
 pub fn mix(a: u64, b: u64) -> u64 {
     let mut x = a ^ b.wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(31);
--- a/crates/heathroad-rehearsal/tests/stand_ins.rs
+++ b/crates/heathroad-rehearsal/tests/stand_ins.rs
@@ -65,6 +65,7 @@
             retry: false,
             hang_up: None,
             slow: 0,
+            carried: [None, None],
         };
         timeout(LONG, self.caller.call(self.world.clock, self.addr, &ask)).await.expect("it ends").end
     }
@@ -211,6 +212,7 @@
                 retry: false,
                 hang_up: None,
                 slow: 0,
+                carried: [None, None],
             };
             tokio::task::spawn_local(async move { caller.call(clock, addr, &ask).await.end })
         });
--- a/crates/heathroad-routing/src/file.rs
+++ b/crates/heathroad-routing/src/file.rs
@@ -138,6 +138,22 @@
     reader::read(file, text, |lines, root| lines.config(root))
 }
 
+/// Whether a connect to an address comes to who listens at another: at all of the machine's, it may be.
+pub fn leads_to(address: SocketAddr, listens: SocketAddr) -> bool {
+    let any = listens.ip().is_unspecified() && address.ip().is_loopback();
+    listens.port() != 0 && address.port() == listens.port() && (address.ip() == listens.ip() || any)
+}
+
+impl Config {
+    /// The pools whose listed backends are at an address where the daemon itself listens for HTTP.
+    pub fn rounds(&self, listens: SocketAddr) -> impl Iterator<Item = &Pool> {
+        self.pools.iter().filter(move |p| match &p.source {
+            Source::List(members) => members.iter().any(|m| p.rpc.is_none() && leads_to(m.address, listens)),
+            Source::Registry { .. } => false,
+        })
+    }
+}
+
 impl<'a> Lines<'a> {
     fn config(&'a self, root: &Section<'a, '_>) -> Config {
         let tenants = root.texts("tenants");
@@ -147,6 +163,7 @@
         let listeners = self.listeners(root, &pools, &tenants);
         self.listened(&routes, &listeners, &pools);
         self.members(&pools);
+        self.rounds(&pools, &listeners);
         let pools = pools.into_iter().map(|(p, _)| p).collect();
         Config { tenants, pools, routes, listeners }
     }
@@ -204,6 +221,29 @@
         }
     }
 
+    /// A backend that is one of the daemon's own listeners sends calls round and round.
+    fn rounds(&self, pools: &[(Pool, usize)], listeners: &[Listener]) {
+        for (i, (pool, at)) in pools.iter().enumerate() {
+            let Source::List(members) = &pool.source else { continue };
+            for m in members {
+                // Calls go to the port for them, if there is one.
+                let port = pool.rpc.and_then(|r| r.port).unwrap_or(m.address.port());
+                let address = SocketAddr::new(m.address.ip(), port);
+                if let Some(l) = listeners.iter().find(|l| pool.rpc.is_some() && leads_to(address, l.address))
+                {
+                    let reason =
+                        format!("{address} is listener {:?}, calls would come back for ever", l.name);
+                    self.fault(
+                        *at,
+                        format!("pool[{i}].backends"),
+                        reason,
+                        "servers, and none of its own listeners",
+                    );
+                }
+            }
+        }
+    }
+
     fn routes(
         &'a self,
         root: &Section<'a, '_>,
--- a/crates/heathroad-routing/src/file/rpc.rs
+++ b/crates/heathroad-routing/src/file/rpc.rs
@@ -24,6 +24,8 @@
     pub calls: u32,
     /// The code of an error that says: turned away unseen, never ran. None where they have no such word.
     pub declined: Option<i64>,
+    /// Calls carry budgets, as members beside the specification's.
+    pub budget: bool,
 }
 
 /// Where remote calls come in.
@@ -202,6 +204,7 @@
             framing: s.framing(),
             calls: s.whole("calls", 1, 1_000).unwrap_or(1),
             declined: s.number("declined", -1e9, 1e9).map(|code| code as i64),
+            budget: s.flag("budget").unwrap_or(false),
         };
         s.end();
         Some(rpc)
--- a/crates/heathroad-routing/tests/listeners.rs
+++ b/crates/heathroad-routing/tests/listeners.rs
@@ -169,3 +169,32 @@
     }
     assert!(diff::words(&a, &a).is_empty());
 }
+
+#[test]
+fn a_pool_that_leads_back_to_a_listener_is_a_loop() {
+    let text = |backend: &str, rpc: &str, listen: &str| {
+        format!(
+            "[[pool]]\nname = \"p\"\nbackends = [\"{backend}\"]\n[pool.rpc]\n{rpc}\n[[pool.class]]\nname = \"c\"\neffect = \"unsafe\"\n\
+             aim_ms = 1\ndeadline_ms = 1\n[[route]]\nname = \"r\"\npool = \"p\"\n[[listener]]\nname = \"l\"\n\
+             protocol = \"json-rpc\"\nlisten = \"{listen}\"\n[[listener.method]]\nname = \"m\"\nclass = \"c\"\n"
+        )
+    };
+    let said = |text: &str| heathroad_routing::file::read("f", text).map_err(|e| e.to_string()).err();
+    for (backend, rpc, listen) in [
+        ("127.0.0.1:9000", "", "127.0.0.1:9000"),
+        ("127.0.0.1:8000", "port = 9000", "127.0.0.1:9000"),
+        ("127.0.0.1:9000", "", "0.0.0.0:9000"),
+    ] {
+        let told = said(&text(backend, rpc, listen)).expect("a loop");
+        assert!(told.contains("is listener \"l\", calls would come back for ever"), "{told}");
+    }
+    assert_eq!(said(&text("127.0.0.1:9000", "port = 9001", "127.0.0.1:9000")), None);
+    assert_eq!(said(&text("10.0.0.1:9000", "", "0.0.0.0:9000")), None);
+    let config =
+        heathroad_routing::file::read("f", &text("127.0.0.1:9000", "", "127.0.0.1:9001")).expect("good");
+    assert_eq!(
+        config.rounds(([127, 0, 0, 1], 9000).into()).count(),
+        0,
+        "its backends are called over JSON-RPC"
+    );
+}
--- a/crates/heathroad/src/backend/mod.rs
+++ b/crates/heathroad/src/backend/mod.rs
@@ -39,6 +39,16 @@
     Rpc(rpc::Call),
 }
 
+impl Call {
+    /// Whether attempts of it take budgets along.
+    pub fn carries(&self) -> bool {
+        match self {
+            Call::Http(_) => true,
+            Call::Rpc(call) => call.way.budget,
+        }
+    }
+}
+
 /// One process of a backend: where it is reached, and since when it is known to drain or be gone.
 pub struct Target {
     /// Its place in the pool. Another process may be reached at the same address.
@@ -272,7 +282,7 @@
     match call {
         Call::Http(call) => http::exchange(pool, call, target, not_past, written, purse).await,
         // In a box, so that calls over HTTP need no room for it.
-        Call::Rpc(call) => Box::pin(rpc::exchange(pool, call, target, not_past, written)).await,
+        Call::Rpc(call) => Box::pin(rpc::exchange(pool, call, target, not_past, written, purse)).await,
     }
 }
 
--- a/crates/heathroad/src/backend/rpc.rs
+++ b/crates/heathroad/src/backend/rpc.rs
@@ -2,6 +2,7 @@
 //! never ran is claimed only where the last byte of its text was not written.
 
 use super::{End, Pool, Target};
+use crate::budget::Purse;
 use bytes::{Buf, Bytes, BytesMut};
 use heathroad_jsonrpc::message::{self, INTERNAL_ERROR, METHOD_NOT_FOUND, Reply};
 use heathroad_jsonrpc::{Answer, Decoder, Framing, Limits, write};
@@ -36,6 +37,8 @@
     pub calls: usize,
     /// The code that says: turned away unseen.
     pub declined: Option<i64>,
+    /// Calls carry budgets, as members beside the specification's.
+    pub budget: bool,
 }
 
 impl Way {
@@ -166,13 +169,17 @@
         (fit && s.pending.values().all(|p| now < p.not_past)).then(|| s.pending.len())
     }
 
-    fn ask(self: &Rc<Self>, call: &Call, not_past: Instant) -> Waiting {
+    fn ask(self: &Rc<Self>, call: &Call, not_past: Instant, purse: Option<&Purse>) -> Waiting {
         let (tell, end) = oneshot::channel();
         let s = &mut *self.state.borrow_mut();
         s.next += 1;
         let (id, notification) = (s.next, call.notification);
         let mut text = BytesMut::new();
         write::call((!notification).then_some(id), &call.method, call.params.as_deref(), &mut text);
+        if let Some(purse) = purse {
+            let (budget, path) = purse.texts(not_past.saturating_duration_since(Instant::now()));
+            write::carry(&mut text, &budget, path);
+        }
         s.queue.push_back(Frame::new(id, call.way.framing, &text));
         s.pending.insert(id, Pending { tell, written: Written::Nothing, not_past, notification });
         self.wake.notify_one();
@@ -371,7 +378,9 @@
     target: &Rc<Target>,
     not_past: Instant,
     written: Rc<Cell<bool>>,
+    purse: Option<Rc<Purse>>,
 ) -> End {
+    let purse = purse.filter(|_| call.way.budget);
     loop {
         let (link, kept) = match pool.rpc_link(target, call.way.calls) {
             Some(link) => (link, true),
@@ -383,10 +392,15 @@
         if pool.drained(target) {
             return End::Unserved(Outcome::Moot);
         }
-        let mut waiting = link.ask(call, not_past);
+        let mut waiting = link.ask(call, not_past, purse.as_deref());
         written.set(true);
         return match (&mut waiting.end).await {
-            Ok(Ended::Answered(answer)) => meaning(answer, call.way.declined),
+            Ok(Ended::Answered(answer)) => {
+                if let Some(purse) = &purse {
+                    purse.read_text(answer.spent.as_deref());
+                }
+                meaning(answer, call.way.declined)
+            }
             Ok(Ended::Sent) => End::Sent,
             Ok(Ended::Drained) => End::Unserved(Outcome::Moot),
             // A kept connection that turned out to be closed: not a byte was written, so that it goes over another.
--- a/crates/heathroad/src/budget.rs
+++ b/crates/heathroad/src/budget.rs
@@ -5,6 +5,7 @@
 use heathroad_budget::ledger::{Figures, Ledger, Terms, Ticket, Told, Turned};
 use heathroad_budget::path::Mark;
 use heathroad_budget::wire::{Budget, MAX_ATTEMPTS, MAX_HOPS, Path, Spent, is_name};
+use heathroad_jsonrpc::message::Carried;
 use hyper::header::{HeaderMap, HeaderValue};
 use serde::Deserialize;
 use std::cell::{Cell, RefCell};
@@ -91,6 +92,18 @@
     }
 }
 
+/// What a request over HTTP says of its budget.
+pub fn told(headers: &HeaderMap, inner: bool) -> Told {
+    let values = |name: &str| headers.get_all(name).iter().map(HeaderValue::as_bytes);
+    Told { budget: Budget::read(values(BUDGET)), path: Path::read(values(PATH)), inner }
+}
+
+/// What a call over JSON-RPC says of it.
+pub fn told_in(carried: &Carried, inner: bool) -> Told {
+    let budget = Budget::read(carried.budget.iter().map(|b| &b[..]));
+    Told { budget, path: Path::read(carried.path.iter().map(|p| &p[..])), inner }
+}
+
 /// The books of this proxy.
 pub struct Books {
     ledger: RefCell<Ledger>,
@@ -103,13 +116,13 @@
 pub struct OnBooks {
     books: Rc<Books>,
     ticket: Option<Ticket>,
-    path: HeaderValue,
+    path: Rc<str>,
 }
 
 /// What an attempt takes along and brings back.
 pub struct Purse {
     budget: Budget,
-    path: HeaderValue,
+    path: Rc<str>,
     spent: Cell<Option<Spent>>,
 }
 
@@ -136,16 +149,8 @@
         self.start.elapsed().as_millis() as u64
     }
 
-    /// A request enters with its headers; why it is turned down, where it has come round.
-    pub fn enter(
-        self: &Rc<Self>,
-        headers: &HeaderMap,
-        inner: bool,
-        mark: Mark,
-        wait: Duration,
-    ) -> Result<OnBooks, String> {
-        let values = |name: &str| headers.get_all(name).iter().map(HeaderValue::as_bytes);
-        let told = Told { budget: Budget::read(values(BUDGET)), path: Path::read(values(PATH)), inner };
+    /// A request enters with what it told; why it is turned down, where it has come round.
+    pub fn enter(self: &Rc<Self>, told: Told, mark: Mark, wait: Duration) -> Result<OnBooks, String> {
         let wait = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
         let ticket = self.ledger.borrow_mut().enter(self.now(), told, mark, wait);
         let ticket = ticket.map_err(|turned| match turned {
@@ -154,9 +159,7 @@
                 format!("loop: the request has passed as many proxies as it may before {}", self.name)
             }
         })?;
-        // Names in a path are plain text.
-        let path = HeaderValue::try_from(ticket.path().to_string());
-        let path = path.unwrap_or(HeaderValue::from_static(""));
+        let path = ticket.path().to_string().into();
         Ok(OnBooks { books: self.clone(), ticket: Some(ticket), path })
     }
 }
@@ -216,16 +219,28 @@
 }
 
 impl Purse {
-    /// Writes what the call is told: durations only, so that no clocks are compared.
-    pub fn write(&self, headers: &mut HeaderMap, left: Duration) {
+    /// What the call is told: durations only, so that no clocks are compared; and the path.
+    pub fn texts(&self, left: Duration) -> (String, &str) {
         let left = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
         let budget = Budget { time_ms: left.min(self.budget.time_ms), ..self.budget };
-        if let Ok(value) = HeaderValue::try_from(budget.to_string()) {
-            headers.insert(BUDGET, value);
-            headers.insert(PATH, self.path.clone());
+        (budget.to_string(), &self.path)
+    }
+
+    /// Writes it as headers.
+    pub fn write(&self, headers: &mut HeaderMap, left: Duration) {
+        let (budget, path) = self.texts(left);
+        // Both are plain text.
+        if let (Ok(budget), Ok(path)) = (HeaderValue::try_from(budget), HeaderValue::from_str(path)) {
+            headers.insert(BUDGET, budget);
+            headers.insert(PATH, path);
         }
     }
 
+    /// Reads what an answer over JSON-RPC tells.
+    pub fn read_text(&self, spent: Option<&[u8]>) {
+        self.spent.set(Spent::read(spent.into_iter()).unwrap_or(None));
+    }
+
     /// Reads what was spent below; what can't be read counts as nothing told.
     pub fn read(&self, headers: &HeaderMap) {
         let values = headers.get_all(SPENT).iter().map(HeaderValue::as_bytes);
--- a/crates/heathroad/src/engine.rs
+++ b/crates/heathroad/src/engine.rs
@@ -466,7 +466,7 @@
         }
         let (cancel, cancelled) = oneshot::channel();
         let worth = s.balancer.worth(request);
-        let lent = open.budget.as_ref().and_then(|b| b.lend(worth));
+        let lent = open.budget.as_ref().filter(|_| open.call.carries()).and_then(|b| b.lend(worth));
         let purse = lent.as_ref().map(|(_, purse)| purse.clone());
         open.attempts.push((backend, Some(Out { sent, cancel: Some(cancel), lent })));
         let (call, target, not_past) = (open.call.clone(), target.clone(), self.clock.instant(not_past));
--- a/crates/heathroad/src/front.rs
+++ b/crates/heathroad/src/front.rs
@@ -2,7 +2,7 @@
 
 use crate::backend::http;
 use crate::backend::{Call, MAX_BODY};
-use crate::budget::{Books, SPENT};
+use crate::budget::{self, Books, SPENT};
 use crate::counts::Final;
 use crate::engine::{Answer, Incoming, millis};
 use crate::router::{Ask, Bound, Router};
@@ -462,7 +462,9 @@
         let (class, tenant) = (bound.class, tenant as u16);
         let enter = |books: &Rc<Books>| {
             let mark = Mark { key: about.as_deref().map_or(0, |k| hash(k.as_bytes())), class, tenant };
-            books.enter(&head.headers, inner, mark, patience).map_err(|why| Box::new(looped(why)))
+            books
+                .enter(budget::told(&head.headers, inner), mark, patience)
+                .map_err(|why| Box::new(looped(why)))
         };
         let budget = self.books.as_ref().map(enter).transpose()?;
         let call = Call::Http(http::Call { method, uri, host, id, key, body });
--- a/crates/heathroad/src/main.rs
+++ b/crates/heathroad/src/main.rs
@@ -109,6 +109,9 @@
         ));
     }
     let config = config::check(file)?;
+    if let Some(file) = &config.routes {
+        routes::rounds(&*routes::read(file)?, config.listen)?;
+    }
     let site = &config.facts.site;
     say(&format!(
         "{}: good: {} classes, {} tenants, listens on {}, discovery at {}",
@@ -270,7 +273,8 @@
         Router::One(_) => None,
         Router::Many(many) => {
             let (many, facts, room) = (many.clone(), facts.clone(), Rc::clone(&room));
-            let front = rpc::Front { many, facts, connections, bodies, room };
+            let books = books.clone();
+            let front = rpc::Front { many, facts, connections, bodies, room, books };
             Some(spawn_local(Rc::new(front).serve(stopped.clone())))
         }
     };
--- a/crates/heathroad/src/router.rs
+++ b/crates/heathroad/src/router.rs
@@ -211,6 +211,8 @@
     pub terms: Terms,
     /// What is expected of the configuration, if anything.
     pub gate: Option<Gate>,
+    /// Where the daemon listens for HTTP, as it was told.
+    pub listens: SocketAddr,
 }
 
 /// Pools by routes, changed by transactions.
@@ -719,6 +721,7 @@
     /// Proposes a text as a change; what is wrong with it, or what is said of it.
     pub async fn propose(self: &Rc<Self>, file: &str, text: &str) -> Result<Vec<Said>, String> {
         let generation = Generation::read(0, file, text).map_err(|e| e.to_string())?;
+        crate::routes::rounds(&generation, self.base.listens)?;
         let expected = self.base.gate.as_ref().map(Gate::expected).transpose()?;
         if let Some(expected) = &expected {
             // Nodes that no registry has told yet, since no pool asks it, are waited for: the last word is at the end.
@@ -847,8 +850,8 @@
 
 /// How a pool's backends are called remotely.
 fn way(rpc: &file::Rpc) -> Way {
-    let file::Rpc { port, framing, calls, declined } = *rpc;
-    Way { port, framing, calls: calls as usize, declined }
+    let file::Rpc { port, framing, calls, declined, budget } = *rpc;
+    Way { port, framing, calls: calls as usize, declined, budget }
 }
 
 /// What pools can choose a registry's host by.
--- a/crates/heathroad/src/routes.rs
+++ b/crates/heathroad/src/routes.rs
@@ -8,6 +8,7 @@
 use heathroad_routing::generation::Generation;
 use heathroad_routing::journal::{Journal, OpenError, Record};
 use heathroad_routing::transaction::Terms;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
@@ -68,6 +69,7 @@
         }
         None => {
             let read = numbered(file, highest)?;
+            rounds(&read, config.listen)?;
             if let Some(gate) = &gate {
                 expected(gate, &read, config)?;
             }
@@ -86,10 +88,22 @@
         registry: config.discovery,
         terms: Terms { probation, judged: gate.is_some(), ..Terms::default() },
         gate,
+        listens: config.listen,
     };
     Many::new(base, first, highest, journal)
 }
 
+/// A pool whose backends are the daemon itself sends requests round and round.
+pub fn rounds(generation: &Generation, listens: SocketAddr) -> Result<(), String> {
+    match generation.config.rounds(listens).next() {
+        None => Ok(()),
+        Some(pool) => Err(format!(
+            "routes: pool {:?}: one of its backends is this daemon itself, at {listens}; expected servers",
+            pool.name
+        )),
+    }
+}
+
 /// What is known to be broken of what is expected before a registry has told any node; no start is made on that. (What was
 /// committed has passed, and stays whatever has become of its nodes.)
 fn expected(gate: &Gate, first: &Generation, config: &Config) -> Result<(), String> {
--- a/crates/heathroad/src/rpc.rs
+++ b/crates/heathroad/src/rpc.rs
@@ -4,18 +4,21 @@
 //! own. What is read ahead is bounded by the calls in work and the answers that wait to be read.
 
 use crate::backend::{Call as Outward, rpc};
+use crate::budget::{self, Books};
 use crate::counts::Final;
 use crate::engine::{Answer, Incoming, millis};
 use crate::front::{Guest, Room, SPARE as SPARE_PLACES, Stock, Taken, away};
 use crate::pace::Pace;
 use crate::router::{Ask, Bound, Many};
 use bytes::{Buf, Bytes, BytesMut};
+use heathroad_budget::path::Mark;
 use heathroad_jsonrpc::message::{
     self, Call, INVALID_PARAMS, INVALID_REQUEST, METHOD_NOT_FOUND, Message, NULL, PARSE_ERROR, Wrong,
 };
 use heathroad_jsonrpc::pointer::{self, Missing, Pointer};
 use heathroad_jsonrpc::{Broken, Decoder, Framing, Limits, write};
 use heathroad_routing::file::{Listener, TenantFrom};
+use heathroad_routing::split::hash;
 use hyper::header::HeaderMap;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
@@ -37,6 +40,8 @@
 pub const FAILED: i64 = -32002;
 /// Failed, because its time was up: nothing is promised.
 pub const TIMED_OUT: i64 = -32003;
+/// Failed, because it has come round: it never ran for this call, and no other try leads out.
+pub const LOOPED: i64 = -32008;
 
 /// A text must have come whole so long after its first byte.
 const ARRIVE: Duration = Duration::from_secs(2);
@@ -73,6 +78,8 @@
     pub bodies: usize,
     /// Who is there.
     pub room: Rc<Room>,
+    /// Budgets down a chain, where they are kept.
+    pub books: Option<Rc<Books>>,
 }
 
 impl Front {
@@ -566,6 +573,7 @@
         let status = match wrong.code {
             METHOD_NOT_FOUND => 404,
             INVALID_PARAMS => 422,
+            LOOPED => 508,
             _ => 400,
         };
         self.door.front.many.meter().unusable(status);
@@ -577,7 +585,8 @@
         let Member { id, incoming, bound } = member;
         let _taken = Taken::new(&self.door.front.room);
         let mut refused = false;
-        let member = match bound.engine.decide(incoming).await.0 {
+        let (answer, spent) = bound.engine.decide(incoming).await;
+        let member = match answer {
             Answer::Served(member) => member,
             Answer::Refused { retry_after } => {
                 refused = true;
@@ -586,6 +595,7 @@
             Answer::Failed => write::error(FAILED, "failed: it may have run", None),
             Answer::TimedOut => write::error(TIMED_OUT, "failed: no answer in time; it may have run", None),
         };
+        let member = spent.map_or(member.clone(), |s| write::spent(&member, &s.to_string()));
         Done { group, id, member, refused }
     }
 
@@ -645,13 +655,17 @@
         if matches!(bound.effect, Effect::Dedup { .. }) && key.is_none() {
             return Err(wrong(INVALID_PARAMS, "a key"));
         }
-        let notification = call.id.is_none();
+        let (notification, class, tenant) = (call.id.is_none(), bound.class, place as u16);
+        let patience = bound.deadline.unwrap_or_default();
+        let enter = |books: &Rc<Books>| {
+            let told = budget::told_in(&call.carried, books.inner(self.peer));
+            let mark = Mark { key: key.as_deref().map_or(0, |k| hash(k.as_bytes())), class, tenant };
+            let looped = "a call that has not passed this proxy before, nor too many";
+            books.enter(told, mark, patience).map_err(|_| wrong(LOOPED, looped))
+        };
+        let budget = front.books.as_ref().map(enter).transpose()?;
         let call = rpc::Call { method: call.method_text, params: call.params, notification, way };
-        let (class, tenant, patience) = (bound.class, place as u16, bound.deadline.unwrap_or_default());
-        Ok((
-            Incoming { call: Outward::Rpc(call), class, tenant, key, received, patience, budget: None },
-            bound,
-        ))
+        Ok((Incoming { call: Outward::Rpc(call), class, tenant, key, received, patience, budget }, bound))
     }
 }
 
--- a/crates/heathroad/tests/budgets.rs
+++ b/crates/heathroad/tests/budgets.rs
@@ -365,6 +365,61 @@
     assert!(worths[2..6].contains(&50), "past its share: {worths:?}");
 }
 
+/// A proxy with a listener for JSON-RPC over one server; its address for HTTP is not used.
+async fn over_rpc(server: SocketAddr, terms: Value) -> (Proxy, SocketAddr, SocketAddr) {
+    let routes = format!(
+        "[[listener]]\nname = \"calls\"\nprotocol = \"json-rpc\"\nlisten = \"127.0.0.1:0\"\ntenant = \"acme\"\n\
+         [[listener.method]]\nname = \"look\"\nclass = \"look\"\n\
+         [[pool]]\nname = \"p\"\nbackends = [\"{server}\"]\n[pool.rpc]\nbudget = true\n[[pool.class]]\nname = \"look\"\n\
+         effect = \"safe\"\naim_ms = 400\ndeadline_ms = 4000\n[[route]]\nname = \"all\"\npool = \"p\"\n"
+    );
+    let discovery = Discovery::start(vec![]).await;
+    let mut config = discovery.config(quick());
+    config["admin"] = "127.0.0.1:0".into();
+    config["routes"] = write_file(".toml", &routes).to_str().expect("text").into();
+    config["budget"] = terms;
+    let (proxy, listeners, admin) = Proxy::start_with_listeners(&config, &["calls"]).await;
+    (proxy, listeners[0], admin)
+}
+
+/// Over JSON-RPC the same goes as members of the envelope; a loop by way of both is one.
+#[tokio::test]
+async fn budgets_and_loops_pass_between_http_and_json_rpc() {
+    let end = rpc_server(None).await;
+    let (_last, listener, _) = over_rpc(end.addr, budget("t2", true)).await;
+    let server = Server::start(&Arc::new(OnceLock::from(listener)), Arc::new(|_, _| Act::Rpc)).await;
+    let (first, _) = proxy_over(&[server.addr], Some(budget("t1", true))).await;
+    assert_eq!(first.call("look").await.0, 200);
+    assert_eq!((server.came(), end.came()), (1, 1));
+
+    let up = Arc::new(OnceLock::new());
+    let end = rpc_server(Some(up.clone())).await;
+    let (_last, listener, _) = over_rpc(end.addr, budget("t2", true)).await;
+    let server = Server::start(&Arc::new(OnceLock::from(listener)), Arc::new(|_, _| Act::Rpc)).await;
+    let (first, admin) = proxy_over(&[server.addr], Some(budget("t1", true))).await;
+    up.set(first.addr).expect("not told yet");
+    let (status, _) = first.call("look").await;
+    assert!([502, 503].contains(&status), "{status}");
+    assert_eq!((server.came(), end.came()), (1, 1), "one pass");
+    assert_eq!(counts(admin).await["budget"]["loops"], 1);
+
+    // What a call is told is in its members, and what comes round is told with a code of its own.
+    use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+    let ask = async |path: &str, twice: &str| {
+        let mut stream = tokio::net::TcpStream::connect(listener).await.expect("it listens");
+        let call = format!(
+            "{{\"jsonrpc\":\"2.0\",\"id\":7,\"method\":\"look\",\"req-budget\":\"t=900, a=1, w=1000, h=4, i=00000000000000ad\",\
+             \"req-path\":\"{path}\"{twice}}}\n"
+        );
+        stream.write_all(call.as_bytes()).await.expect("open");
+        soon(BufReader::new(stream).lines().next_line()).await.expect("open").expect("an answer")
+    };
+    let answer = ask("t0, t2", "").await;
+    assert!(answer.contains("-32008") && answer.contains("\"id\":7"), "{answer}");
+    let answer = ask("t0", ",\"req-path\":\"t2\"").await;
+    assert!(!answer.contains("-32008"), "a path that comes twice is none: {answer}");
+}
+
 /// A measurement and no test: attempts by tier and requests served, with budgets and without, in each outage. Run it in
 /// release with `--ignored --nocapture`.
 #[tokio::test]
--- a/crates/heathroad/tests/expectations.rs
+++ b/crates/heathroad/tests/expectations.rs
@@ -267,3 +267,15 @@
         task.await.expect("every call was served or refused");
     }
 }
+
+/// A daemon that would send requests to itself is not started, and `check` says so.
+#[tokio::test]
+async fn a_configuration_that_leads_back_to_the_daemon_is_a_loop() {
+    let own: SocketAddr = ([127, 0, 0, 1], 9).into();
+    let mut config = Discovery::start(vec![]).await.config(settings());
+    config["listen"] = json!(own.to_string());
+    config["routes"] = name(&write_file(".toml", &(pool("p", &[own]) + &route("all", "", "p")))).into();
+    let file = write_config(&config.to_string());
+    let (code, _, said) = run(&["check", name(&file)]).await;
+    assert!(code == Some(2) && said.contains("is this daemon itself, at 127.0.0.1:9"), "{said}");
+}
--- a/crates/heathroad/tests/rig/chain.rs
+++ b/crates/heathroad/tests/rig/chain.rs
@@ -21,6 +21,8 @@
     Call(usize),
     /// The same for one call, and copies nothing.
     Strip,
+    /// Calls the same below over JSON-RPC, with what it was told.
+    Rpc,
     /// Closes the connection without an answer.
     Vanish,
 }
@@ -84,6 +86,21 @@
             status(200)
         }
         Act::Vanish => return Err(io::Error::other("told to")),
+        Act::Rpc => {
+            let text = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default();
+            let call = json!({"jsonrpc": "2.0", "id": 1, "method": "look", "params": {},
+                "req-budget": text("req-budget"), "req-path": text("req-path")});
+            let Some(below) = below else { return Ok(status(500)) };
+            let mut stream = TcpStream::connect(below).await?;
+            stream.write_all(format!("{call}\n").as_bytes()).await?;
+            let answer = BufReader::new(stream).lines().next_line().await?.unwrap_or_default();
+            let answer: Value = serde_json::from_str(&answer).map_err(io::Error::other)?;
+            let mut reply = status(if answer.get("result").is_some() { 200 } else { 500 });
+            if let Some(spent) = answer["req-spent"].as_str() {
+                reply.headers_mut().insert("req-spent", spent.parse().map_err(io::Error::other)?);
+            }
+            reply
+        }
         Act::Strip => call(head, below, false).await.0,
         Act::Call(n) => {
             let (head, mut calls) = (Arc::new(head.headers.clone()), Vec::new());
@@ -183,3 +200,48 @@
     let by = counts["attempts"].as_object().expect("by outcome");
     by.iter().filter(|(how, _)| *how != "unsent").filter_map(|(_, n)| n.as_u64()).sum()
 }
+
+/// A server of JSON-RPC in lines, which answers with what it was told, or first calls below over HTTP with that.
+pub async fn rpc_server(below: Option<Arc<OnceLock<SocketAddr>>>) -> Server {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("bound");
+    let came = Arc::new(AtomicUsize::new(0));
+    let count = came.clone();
+    tokio::spawn(async move {
+        loop {
+            let (stream, _) = listener.accept().await.expect("a connection");
+            let (count, below) = (count.clone(), below.clone());
+            tokio::spawn(async move {
+                let (reader, mut writer) = stream.into_split();
+                let mut lines = BufReader::new(reader).lines();
+                while let Ok(Some(text)) = lines.next_line().await {
+                    count.fetch_add(1, SeqCst);
+                    let asked: Value = serde_json::from_str(&text).expect("proxies send JSON");
+                    let mut answer = json!({"jsonrpc": "2.0", "id": asked["id"]});
+                    answer["result"] = json!([asked["req-budget"], asked["req-path"]]);
+                    if let Some(below) = &below {
+                        let mut headers = HeaderMap::new();
+                        for name in ["req-budget", "req-path"] {
+                            let value = asked[name].as_str().expect("it is told").parse().expect("plain");
+                            headers.insert(name, value);
+                        }
+                        headers.insert("req-deadline-ms", "5000".parse().expect("plain"));
+                        let (reply, spent) =
+                            call_with(&headers, "/look?k=7f3a", below.get().copied(), true).await;
+                        if reply.status() != StatusCode::OK {
+                            answer.as_object_mut().expect("an object").remove("result");
+                            answer["error"] = json!({"code": -32603, "message": "below"});
+                        }
+                        if let Some(spent) = spent {
+                            answer["req-spent"] = spent.to_str().expect("text").into();
+                        }
+                    }
+                    if writer.write_all(format!("{answer}\n").as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    Server { addr, came }
+}
