--- a/crates/heathroad-expect/src/lib.rs
+++ b/crates/heathroad-expect/src/lib.rs
@@ -7,7 +7,7 @@
 //! - [`reach`] finds which routes some request of a box takes, by the nesting of routes and by counting: a box whose parts
 //!   are all taken by narrower routes has as many kinds as these. What it finds is held against the table that routes.
 //! - [`nodes`] says which nodes a pool has in a state, and what is left of them when the worst is lost.
-//! - [`judge`] puts these together: a verdict for each expectation, with the smallest request and state that break it.
+//! - [`judge`](mod@judge) puts these together: a verdict for each expectation, with the smallest request and state that break it.
 //! - [`plan`] orders drains into batches so that every expectation holds all along.
 //!
 //! Nothing here does I/O or knows a clock.
--- a/crates/heathroad-expect/src/plan.rs
+++ b/crates/heathroad-expect/src/plan.rs
@@ -156,8 +156,9 @@
     // and what is cut off for their sake might have led on.
     let single = |n: &Need| n.loss.is_none_or(|l| l.kind == nodes::Kind::Node);
     let sound = needs.iter().all(|n| n.group.is_none_or(|g| g == Group::All && single(n)));
-    let mut proven = best.len() <= least || units.len() <= MAX_SEARCHED;
-    for count in least..if proven { best.len() } else { least } {
+    let searched = units.len() <= MAX_SEARCHED;
+    let mut proven = searched || best.len() <= least;
+    for count in (least..best.len()).take_while(|_| searched) {
         let mut batches = vec![BTreeSet::new(); count];
         search.looks = 0;
         match search.place(0, &mut batches) {
--- a/crates/heathroad-expect/src/space.rs
+++ b/crates/heathroad-expect/src/space.rs
@@ -1,5 +1,5 @@
 //! All requests that there can be, as kinds: requests of one kind fulfil the same conditions of every route and of every
-//! expectation. A kind is a point with a value in each [`Dimension`], and values are ordered so that what a condition asks
+//! expectation. A kind is a point with a value in each dimension, and values are ordered so that what a condition asks
 //! for is an interval: names under one wildcard, or paths under one prefix, stand side by side.
 
 use heathroad_routing::file::{Config, TenantFrom};
--- a/crates/heathroad/src/cli.rs
+++ b/crates/heathroad/src/cli.rs
@@ -34,7 +34,7 @@
     /// The daemon's JSON file, for its tenants and limits.
     #[arg(long, value_name = "FILE")]
     pub settings: Option<PathBuf>,
-    /// Ask a running daemon for the nodes, in place of the file's [[node]].
+    /// Ask a running daemon for the nodes, in place of those that the file names.
     #[arg(long)]
     pub live: bool,
     #[command(flatten)]
--- a/crates/heathroad/tests/expectations.rs
+++ b/crates/heathroad/tests/expectations.rs
@@ -9,7 +9,6 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
 use std::time::Duration;
 
 const ONCE: &str =
@@ -236,36 +235,22 @@
     let more: String = (0..50).map(|n| ONCE.replace("once runs once", &format!("{n}"))).collect();
     let expected = write_file(".toml", &(ONCE.to_string() + &more));
     let s = scene(&text("one", "unsafe"), 20, |c| c["expectations"] = name(&expected).into()).await;
-    let (stop, served) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
-    let mut load = Vec::new();
-    for n in 0..4 {
-        let (mut caller, stop, served) = (s.proxy.caller().await, stop.clone(), served.clone());
-        load.push(tokio::spawn(async move {
-            while !stop.load(SeqCst) {
-                let (status, _) = caller.call(if n % 2 == 0 { "look" } else { "once" }).await;
-                assert!([200, 503].contains(&status), "{status}");
-                served.fetch_add(usize::from(status == 200), SeqCst);
-            }
-        }));
-    }
+    let load = Load::start(&s.proxy, 4).await;
     for n in 0..20u64 {
         let to = if n % 2 == 0 { "two" } else { "one" };
         let (status, said) = s.ask("POST", "/config/apply", &text("two", "safe")).await;
         assert!(status == 422 && said.lines().count() == 51, "change {n}: {status} {said}");
         s.apply(&text(to, "unsafe")).await;
         s.stands(n + 2).await;
-        let before = served.load(SeqCst);
+        let before = load.served();
         soon(async {
-            while served.load(SeqCst) < before + 10 {
+            while load.served() < before + 10 {
                 tokio::task::yield_now().await;
             }
         })
         .await;
     }
-    stop.store(true, SeqCst);
-    for task in load {
-        task.await.expect("every call was served or refused");
-    }
+    load.end().await;
 }
 
 /// A daemon that would send requests to itself is not started, and `check` says so.
--- a/crates/heathroad/tests/rig/scene.rs
+++ b/crates/heathroad/tests/rig/scene.rs
@@ -2,6 +2,8 @@
 
 use super::*;
 use std::path::PathBuf;
+use std::sync::atomic::AtomicBool;
+use tokio::task::JoinHandle;
 
 /// A pool of listed backends that serves the classes of the rig.
 pub fn pool(name: &str, backends: &[SocketAddr]) -> String {
@@ -110,3 +112,41 @@
     let (a, b) = (Backend::start("a", &orders).await, Backend::start("b", &orders).await);
     (orders, a, b)
 }
+
+/// Callers that ask, one call after another, until they are told to end. Half of them look, half act once.
+pub struct Load {
+    stop: Arc<AtomicBool>,
+    served: Arc<AtomicUsize>,
+    callers: Vec<JoinHandle<()>>,
+}
+
+impl Load {
+    pub async fn start(proxy: &Proxy, callers: usize) -> Load {
+        let mut load = Load { stop: Arc::default(), served: Arc::default(), callers: Vec::new() };
+        for n in 0..callers {
+            let (mut caller, stop, served) = (proxy.caller().await, load.stop.clone(), load.served.clone());
+            load.callers.push(tokio::spawn(async move {
+                while !stop.load(SeqCst) {
+                    let (status, _) = caller.call(if n % 2 == 0 { "look" } else { "once" }).await;
+                    // More than the limit takes at first is refused, as ever; nothing fails.
+                    assert!([200, 503].contains(&status), "{status}");
+                    served.fetch_add(usize::from(status == 200), SeqCst);
+                }
+            }));
+        }
+        load
+    }
+
+    pub fn served(&self) -> usize {
+        self.served.load(SeqCst)
+    }
+
+    /// Ends it; how many were served.
+    pub async fn end(self) -> usize {
+        self.stop.store(true, SeqCst);
+        for caller in self.callers {
+            soon(caller).await.expect("every call was served or refused");
+        }
+        self.served.load(SeqCst)
+    }
+}
--- a/crates/heathroad/tests/routes.rs
+++ b/crates/heathroad/tests/routes.rs
@@ -10,7 +10,7 @@
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::time::Duration;
 use tokio::sync::Notify;
 
@@ -51,19 +51,7 @@
             + &route("o", "class = \"once\"", to)
     };
     let s = scene(&text("one"), 20, |_| {}).await;
-    let (stop, served) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
-    let mut load = Vec::new();
-    for n in 0..8 {
-        let (mut caller, stop, served) = (s.proxy.caller().await, stop.clone(), served.clone());
-        load.push(tokio::spawn(async move {
-            while !stop.load(SeqCst) {
-                let (status, _) = caller.call(if n % 2 == 0 { "look" } else { "once" }).await;
-                // More than the limit takes at first is refused, as ever; nothing fails.
-                assert!([200, 503].contains(&status), "{status}");
-                served.fetch_add(usize::from(status == 200), SeqCst);
-            }
-        }));
-    }
+    let load = Load::start(&s.proxy, 8).await;
     let mut caller = s.proxy.caller().await;
     for n in 0..200u64 {
         let (to, backend) = if n % 2 == 0 { ("two", "b") } else { ("one", "a") };
@@ -77,11 +65,7 @@
         }
         s.stands(n + 2).await;
     }
-    stop.store(true, SeqCst);
-    for task in load {
-        task.await.expect("every call was served or refused");
-    }
-    let (served, connections) = (served.load(SeqCst), a.total() + b.total());
+    let (served, connections) = (load.end().await, a.total() + b.total());
     assert!(served > 2_000, "{served}");
     assert!(connections < 40, "{connections} connections for {served} calls: both generations share them");
 }
