Calls of callers who left are closed down the chain, where servers stop them

Need: a caller that leaves freed what was unsent here; what was out went on, and so did all that it had set going below.

Change: `stops` in the budget's settings, off by default: an attempt that is given up has its connection closed in place of its end being awaited. Its server drops what it has out, the next proxy hears a hang-up, and so on.

Result: with it the tier below counts the request as left at once; without, as served 3 s later (test of both).

--- a/crates/heathroad/src/backend/mod.rs
+++ b/crates/heathroad/src/backend/mod.rs
@@ -315,7 +315,7 @@
     pub async fn run(self, pool: Rc<Pool>, report: impl FnOnce(End), late: impl FnOnce(End)) {
         let Attempt { call, target, not_past, mut cancelled, purse } = self;
         let written = Rc::new(Cell::new(false));
-        let mut exchange = pin!(exchange(&pool, &call, &target, not_past, written.clone(), purse));
+        let mut exchange = pin!(exchange(&pool, &call, &target, not_past, written.clone(), purse.clone()));
         let given_up = tokio::select! {
             biased;
             end = &mut exchange => return report(end),
@@ -324,6 +324,10 @@
         };
         report(End::Unserved(given_up));
         let unseen = End::Unserved(given_up);
+        // Its server is told by the close, and what it has not sent on yet is dropped: the work ends here and now.
+        if purse.is_some_and(|p| p.stops()) {
+            return late(unseen);
+        }
         let place = Place::take(&pool.draining, pool.draining_most);
         late(if written.get() && pool.limits.may_duplicate && place.is_some() {
             // Whether it came or not, nobody waits for the answer itself.
--- a/crates/heathroad/src/budget.rs
+++ b/crates/heathroad/src/budget.rs
@@ -43,6 +43,8 @@
     same: usize,
     #[serde(default)]
     lends: bool,
+    #[serde(default)]
+    stops: bool,
 }
 
 fn attempts() -> u16 {
@@ -70,12 +72,13 @@
 pub struct Settings {
     terms: Terms,
     inner: BTreeSet<IpAddr>,
+    stops: bool,
 }
 
 impl File {
     /// Checked; an error names the field.
     pub fn check(self) -> Result<Settings, String> {
-        let File { name, inner, attempts, share, depth, hops, reentries, same, lends } = self;
+        let File { name, inner, attempts, share, depth, hops, reentries, same, lends, stops } = self;
         let wrong = [
             (!is_name(&name), "name: expected 1 to 32 letters, digits, `-`, `_` and `.`"),
             (attempts > MAX_ATTEMPTS, "attempts: expected 64 at the most"),
@@ -88,7 +91,7 @@
             return Err(format!("budget: {what}"));
         }
         let terms = Terms { name, attempts, share, depth, hops, reentries, same, lends };
-        Ok(Settings { terms, inner: inner.into_iter().collect() })
+        Ok(Settings { terms, inner: inner.into_iter().collect(), stops })
     }
 }
 
@@ -109,6 +112,7 @@
     ledger: RefCell<Ledger>,
     name: String,
     inner: BTreeSet<IpAddr>,
+    stops: bool,
     start: Instant,
 }
 
@@ -124,15 +128,16 @@
     budget: Budget,
     path: Rc<str>,
     spent: Cell<Option<Spent>>,
+    stops: bool,
 }
 
 impl Books {
     /// Empty ones; two proxies should not share a seed.
     pub fn new(settings: &Settings, seed: u64) -> Rc<Books> {
-        let Settings { terms, inner } = settings.clone();
+        let Settings { terms, inner, stops } = settings.clone();
         let name = terms.name.clone();
         let ledger = RefCell::new(Ledger::new(terms, seed));
-        Rc::new(Books { ledger, name, inner, start: Instant::now() })
+        Rc::new(Books { ledger, name, inner, stops, start: Instant::now() })
     }
 
     /// Whether a peer's word is taken.
@@ -193,7 +198,7 @@
         let worth = ((worth * 1000.0) as u16).min(budget.worth);
         let budget = Budget { worth, ..budget };
         let (path, spent) = (self.path.clone(), Cell::new(None));
-        Some((loan, Rc::new(Purse { budget, path, spent })))
+        Some((loan, Rc::new(Purse { budget, path, spent, stops: self.books.stops })))
     }
 
     /// An attempt ended; one that was never sent has spent nothing.
@@ -226,6 +231,11 @@
         (budget.to_string(), &self.path)
     }
 
+    /// Whether a server stops what its caller has left: its connection is closed then, and so on down the chain.
+    pub fn stops(&self) -> bool {
+        self.stops
+    }
+
     /// Writes it as headers.
     pub fn write(&self, headers: &mut HeaderMap, left: Duration) {
         let (budget, path) = self.texts(left);
--- a/crates/heathroad/tests/budgets.rs
+++ b/crates/heathroad/tests/budgets.rs
@@ -420,6 +420,46 @@
     assert!(!answer.contains("-32008"), "a path that comes twice is none: {answer}");
 }
 
+/// A caller leaves: where servers stop what their caller has left, the tier below hears of it at once and not when the work
+/// is done.
+#[tokio::test]
+async fn a_caller_that_leaves_is_known_to_have_left_all_the_way_down() {
+    for stops in [true, false] {
+        let nowhere = Arc::new(OnceLock::new());
+        let end = Server::start(&nowhere, Arc::new(|_, _| Act::Slow(Duration::from_secs(3)))).await;
+        let mut terms = budget("t2", false);
+        terms["stops"] = json!(stops);
+        let (last, admin) = proxy_over(&[end.addr], Some(terms)).await;
+        let middle = Server::start(&Arc::new(OnceLock::from(last.addr)), Arc::new(|_, _| Act::Call(1))).await;
+        let mut terms = budget("t1", true);
+        terms["stops"] = json!(stops);
+        let (first, _) = proxy_over(&[middle.addr], Some(terms)).await;
+        let mut caller = first.caller().await;
+        let call = tokio::spawn(async move { caller.call("look").await });
+        soon(async {
+            while end.came() == 0 {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        })
+        .await;
+        let begun = Instant::now();
+        call.abort();
+        let ended = soon(async {
+            loop {
+                let requests = counts(admin).await["requests"].clone();
+                let row = requests.as_array().and_then(|r| r.first().cloned());
+                if let Some(row) = row.filter(|r| r["count"] != 0) {
+                    return row["answer"].clone();
+                }
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        })
+        .await;
+        assert_eq!(ended, if stops { "left" } else { "served" });
+        assert!(!stops || begun.elapsed() < Duration::from_secs(2), "well before its work was done");
+    }
+}
+
 /// A measurement and no test: attempts by tier and requests served, with budgets and without, in each outage. Run it in
 /// release with `--ignored --nocapture`.
 #[tokio::test]
--- a/crates/heathroad/tests/rig/chain.rs
+++ b/crates/heathroad/tests/rig/chain.rs
@@ -103,15 +103,16 @@
         }
         Act::Strip => call(head, below, false).await.0,
         Act::Call(n) => {
-            let (head, mut calls) = (Arc::new(head.headers.clone()), Vec::new());
+            // Whoever drops these, as a server does whose caller has left, ends them.
+            let (head, mut calls) = (Arc::new(head.headers.clone()), tokio::task::JoinSet::new());
             let path = head_path(&head);
             for _ in 0..n {
                 let (headers, path) = (head.clone(), path.clone());
-                calls.push(tokio::spawn(async move { call_with(&headers, &path, below, true).await }));
+                calls.spawn(async move { call_with(&headers, &path, below, true).await });
             }
             let (mut reply, mut spent) = (status(200), None);
-            for called in calls {
-                let (answer, told) = called.await.map_err(io::Error::other)?;
+            while let Some(called) = calls.join_next().await {
+                let (answer, told) = called.map_err(io::Error::other)?;
                 if answer.status() != StatusCode::OK {
                     reply = status(500);
                 }
