Chains whose end is wholly down or answers nobody in time, as tests

Need: two of the outages that budgets are meant for were not caused by a test.

Change: an end at which nobody listens (ports bound and held, so that no other test gets them) and one that answers nobody.

Result: attempts within 1.2 times first tries and the transient in both; without budgets refused connects are multiplied by more than 1.2 of that.

--- a/crates/heathroad/tests/budgets.rs
+++ b/crates/heathroad/tests/budgets.rs
@@ -24,13 +24,19 @@
 }
 
 async fn chain(budgets: bool, end: Acts) -> Chain {
+    chain_to(budgets, end, None).await
+}
+
+/// The same, to addresses at which nobody listens where they are told.
+async fn chain_to(budgets: bool, end: Acts, dead: Option<[SocketAddr; 2]>) -> Chain {
     let (mut proxies, mut servers) = (Vec::new(), Vec::new());
     let mut below = Arc::new(OnceLock::new());
     for tier in (1..=3).rev() {
         let acts: Acts = if tier == 3 { end.clone() } else { Arc::new(|_, _| Act::Call(1)) };
         let two = [Server::start(&below, acts.clone()).await, Server::start(&below, acts).await];
         let terms = budgets.then(|| budget(&format!("t{tier}"), tier < 3));
-        let (proxy, admin) = proxy_over(&[two[0].addr, two[1].addr], terms).await;
+        let ends = dead.filter(|_| tier == 3).unwrap_or([two[0].addr, two[1].addr]);
+        let (proxy, admin) = proxy_over(&ends, terms).await;
         below = Arc::new(OnceLock::from(proxy.addr));
         proxies.push((proxy, admin));
         servers.extend(two);
@@ -79,7 +85,10 @@
 /// Runs of a chain whose end is ill in a way: the attempts of each tier are 1.2 times the first tries at the most, but for what
 /// the calm had saved up and what was in flight.
 async fn held(end: Acts, requests: usize) -> (usize, Vec<u64>) {
-    let chain = chain(true, end).await;
+    bounded(&chain(true, end).await, requests).await
+}
+
+async fn bounded(chain: &Chain, requests: usize) -> (usize, Vec<u64>) {
     let (served, attempts) = chain.load(requests).await;
     let transient = 20.0 + 8.0 * 2.0;
     for (tier, n) in attempts.iter().enumerate() {
@@ -111,6 +120,58 @@
     assert!(without as f64 > 1.5 * with as f64, "{without} beside {with}");
 }
 
+/// Nobody listens where the last tier was: connects fail, which is proved never to have run and was tried again freely.
+#[tokio::test]
+async fn an_end_that_is_wholly_down_makes_no_storm() {
+    const REQUESTS: usize = 200;
+    // Bound and not listening: nobody else gets the port, and connects are refused.
+    let taken = [(); 2].map(|()| {
+        let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+        socket.bind(([127, 0, 0, 1], 0).into()).expect("a port");
+        socket
+    });
+    let dead = [0, 1].map(|n: usize| taken[n].local_addr().expect("bound"));
+    let acts: Acts = Arc::new(|_, _| Act::Serve);
+    let (served, with) = bounded(&chain_to(true, acts.clone(), Some(dead)).await, REQUESTS).await;
+    assert_eq!(served, 0);
+    let (_, without) = chain_to(false, acts, Some(dead)).await.load(REQUESTS).await;
+    let [with, without]: [u64; 2] = [with.iter().sum(), without.iter().sum()];
+    assert!(without as f64 > 1.2 * with as f64, "{without} beside {with}");
+}
+
+/// The last tier takes requests and answers none in time: what a caller has left goes down with its request, no tier works on
+/// for longer, and little is sent again.
+#[tokio::test]
+async fn an_end_that_is_slow_is_given_up_all_the_way_down() {
+    let chain = chain(true, Arc::new(|_, _| Act::Slow(Duration::from_secs(600)))).await;
+    let mut callers = Vec::new();
+    for _ in 0..8 {
+        let mut caller = chain.proxies[0].0.caller().await;
+        callers.push(tokio::spawn(async move {
+            for _ in 0..3 {
+                let mut request = request("look").body(Full::default()).expect("well formed");
+                request.headers_mut().insert("req-deadline-ms", "300".parse().expect("plain"));
+                let (status, _) = caller.send(request).await;
+                assert!([502, 503, 504].contains(&status), "{status}");
+            }
+        }));
+    }
+    for caller in callers {
+        soon(caller).await.expect("each was answered in time");
+    }
+    let attempts = chain.attempts().await;
+    assert!(attempts.iter().all(|n| *n <= 24 * 6 / 5 + 20), "{attempts:?}");
+    // The time went down: the tiers below have given up as well, long before the end would have answered.
+    for (_, admin) in &chain.proxies {
+        soon(async {
+            while counts(*admin).await["requests_open"] != 0 {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        })
+        .await;
+    }
+}
+
 #[tokio::test]
 async fn an_end_that_flaps_is_helped_within_the_share() {
     let (served, _) = held(Arc::new(|n, _| if n / 20 % 2 == 0 { Act::Serve } else { Act::Fail }), 300).await;
