--- a/crates/heathroad/tests/jsonrpc.rs
+++ b/crates/heathroad/tests/jsonrpc.rs
@@ -9,7 +9,8 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
 use std::time::{Duration, Instant};
-use tokio::sync::Notify;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::sync::{Notify, watch};
 
 const REFUSED: i64 = -32001;
 const FAILED: i64 = -32002;
@@ -856,29 +857,56 @@
     socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
     let deaf = socket.listen(16).expect("it listens");
     let at = deaf.local_addr().expect("bound");
-    let broken = Arc::new(AtomicUsize::new(0));
-    let count = broken.clone();
+    let (broken, small) = (Arc::new(AtomicUsize::new(0)), Arc::new(watch::Sender::new(0)));
+    let release = Arc::new(Notify::new());
+    let (count, came, released) = (broken.clone(), small.clone(), release.clone());
     tokio::spawn(async move {
         loop {
-            let (stream, _) = deaf.accept().await.expect("a connection");
-            let count = count.clone();
+            let (mut stream, _) = deaf.accept().await.expect("a connection");
+            let (count, came, released) = (count.clone(), came.clone(), released.clone());
             tokio::spawn(async move {
-                // Something has come, and far from all of it fits.
-                stream.readable().await.expect("open");
-                tokio::time::sleep(Duration::from_millis(50)).await;
-                socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("a socket");
-                count.fetch_add(1, SeqCst);
+                let mut begin = [0; 1024];
+                loop {
+                    let n = stream.read(&mut begin).await.unwrap_or(0);
+                    let text = String::from_utf8_lossy(&begin[..n]).into_owned();
+                    if n == 0 {
+                        return;
+                    }
+                    // A call of which all fits is answered once it is told to.
+                    if let Some(call) = text.strip_suffix("}\n") {
+                        came.send_modify(|n| *n += 1);
+                        released.notified().await;
+                        let id = call.rsplit_once(",\"id\":").expect("the proxy writes it last").1;
+                        let answer = format!("{{\"jsonrpc\":\"2.0\",\"result\":\"deaf\",\"id\":{id}}}\n");
+                        stream.write_all(answer.as_bytes()).await.expect("open");
+                        continue;
+                    }
+                    // Something has come, and far from all of it fits.
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                    socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("a socket");
+                    count.fetch_add(1, SeqCst);
+                    return;
+                }
             });
         }
     });
     let nodes = [list[0], at];
     let s = scene(&Plan { nodes: &nodes, listener: "text_kb = 16384", ..Plan::default() }).await;
-    // The good node has a call in work, so that the next one goes to the other.
+    // Each node takes one of two calls, whichever comes first. The good one keeps its own in work, so that the next
+    // goes to the other, which is held for as quick and as well.
     let held = Arc::new(Notify::new());
     script.give([Act::Hold(held.clone())]);
-    let mut beside = s.raw().await;
-    beside.send(&call("claims.look", "held", "0")).await;
+    let mut beside = [s.raw().await, s.raw().await];
+    for (n, raw) in beside.iter_mut().enumerate() {
+        raw.send(&call("claims.look", &format!("held-{n}"), "0")).await;
+    }
     script.came(1).await;
+    soon(small.subscribe().wait_for(|n| *n == 1)).await.expect("open");
+    release.notify_one();
+    let answered = async |one: &mut Raw| one.next().await["result"].clone();
+    let [one, two] = &mut beside;
+    let first = tokio::select! { told = answered(one) => (told, 1), told = answered(two) => (told, 0) };
+    assert_eq!(first.0, "deaf");
     let mut raw = s.raw().await;
     let filler = "x".repeat(8 << 20);
     let unwritten = async || s.counts().await["resends"]["connect_failed"].as_u64().unwrap_or(0);
@@ -893,7 +921,7 @@
     }
     assert!(unwritten().await > 0 && broken.load(SeqCst) > 0, "none went to the deaf node");
     held.notify_one();
-    assert_eq!(beside.next().await["result"], "good");
+    assert_eq!(answered(&mut beside[first.1]).await, "good");
 }
 
 /// 10,000 hostile frames, made of the codec's corpus, on 500 connections: each connection comes to its end, the program
