Rehearsal loop: services that call back, seen by the kit; work begun for nobody as a figure

A fault 'loop' has backends call the first tier in place of the next; such calls are told from clients in worth, counts and agreement. 'loops_open' is now the judge's own: calls that came round and reached a backend again; what daemons ended is 'loops_ended'. 'work_for_nobody' is the part of backends' work begun when the client at the head had gone. Loops of 1, 2 and 5 daemons and an end half of which is dead are tests of the daemon now. The bad proxy's link in tests was made twice now and then; mended.

--- a/crates/heathroad-rehearsal/src/agreement.rs
+++ b/crates/heathroad-rehearsal/src/agreement.rs
@@ -39,6 +39,9 @@
     counts.iter().filter_map(of).sum()
 }
 
+/// The answer to what comes round.
+const LOOPED: End = End::Failed(508);
+
 /// Final answers by class, tenant and kind, over all processes.
 fn finals(counts: &[&Counted]) -> BTreeMap<(String, String, String), u64> {
     let mut sums = BTreeMap::new();
@@ -63,9 +66,25 @@
         }
         lines.extend(attempts(seen, tier, &counts, killed));
     }
+    lines.push(came_round(seen));
     lines
 }
 
+/// Calls that came round, ended by 508 wherever that was. Who lost its connection can't tell whether it was.
+fn came_round(seen: &Seen) -> Line {
+    let all: Vec<&Counted> = seen.counts.iter().collect();
+    let round = || seen.ledgers.tries.iter().filter(|t| t.came_round());
+    let sure = round().filter(|t| t.end == LOOPED).count() as u64;
+    let unsure =
+        round().filter(|t| matches!(t.end, End::HungUp | End::Broken(_) | End::Silence)).count() as u64;
+    Line {
+        what: "calls that came round, ended".into(),
+        seen: [sure, sure + unsure],
+        counted: count(&all, &["unusable", "508"]),
+        killed: all.iter().any(|c| c.counts.is_none()),
+    }
+}
+
 fn answers(seen: &Seen, counts: &[&Counted], killed: bool) -> Vec<Line> {
     let finals = finals(counts);
     let s = &seen.plan.scenario;
@@ -73,7 +92,9 @@
     for (c, class) in s.class.iter().enumerate() {
         for (t, tenant) in s.tenant.iter().enumerate() {
             let of = |try_: &&crate::ledger::Try| {
-                try_.tier == 0 && (usize::from(try_.class), usize::from(try_.tenant)) == (c, t)
+                // What came round is answered before it is anybody's, and has a line of its own.
+                let ours = try_.tier == 0 && try_.end != LOOPED;
+                ours && (usize::from(try_.class), usize::from(try_.tenant)) == (c, t)
             };
             let tries: Vec<_> = seen.ledgers.tries.iter().filter(of).collect();
             let ends = |is: &dyn Fn(&End) -> bool| tries.iter().filter(|t| is(&t.end)).count() as u64;
--- a/crates/heathroad-rehearsal/src/judge/mod.rs
+++ b/crates/heathroad-rehearsal/src/judge/mod.rs
@@ -1,6 +1,7 @@
 //! The judge: service worth and the four rules, from the ledgers alone. A pure function, so that it can be tried
 //! against proxies that break each rule, without a socket.
 
+mod effort;
 mod rules;
 mod worth;
 
@@ -53,6 +54,10 @@
     pub rude: [u64; 2],
     /// Calls over JSON-RPC that were served.
     pub remote_served: u64,
+    /// Calls that came round to the first tier and reached a backend of it once more.
+    pub loops_open: u64,
+    /// The part of backends' work that was begun when the client it was for had left or had its answer.
+    pub work_for_nobody: f64,
     /// Latencies of served first tries, retries folded in, in microseconds: sorted.
     pub latencies: Vec<Micros>,
 }
@@ -80,6 +85,8 @@
             "resends_seen" => self.resends as f64,
             "remote_served" => self.remote_served as f64,
             "rude_unanswered" => self.rude[1] as f64,
+            "loops_open" => self.loops_open as f64,
+            "work_for_nobody" => self.work_for_nobody,
             _ => return None,
         })
     }
@@ -96,7 +103,7 @@
     use crate::ledger::{End, Try};
     let (breaches, by_clients, resends) = rules::all(terms, ledgers);
     let mut tries = [0; 4];
-    for t in ledgers.tries.iter().filter(|t| t.tier == 0) {
+    for t in ledgers.tries.iter().filter(|t| t.of_client()) {
         let kind = match t.end {
             End::Served(_) => 0,
             End::Refused { .. } => 1,
@@ -106,10 +113,22 @@
         tries[kind] += 1;
     }
     let left = ledgers.rude.iter().filter(|r| rules::left_with_nothing(r)).count();
-    let remote = |t: &&Try| t.tier == 0 && terms.plan.tries.get(t.first as usize).is_some_and(|f| f.remote);
+    let remote = |t: &&Try| t.of_client() && terms.plan.tries.get(t.first as usize).is_some_and(|f| f.remote);
     let remote = ledgers.tries.iter().filter(remote);
     let remote_served = remote.filter(|t| matches!(t.end, End::Served(_))).count() as u64;
     let (worth, latencies) = worth::of(terms.plan, &ledgers.tries);
     let rude = [ledgers.rude.len() as u64, left as u64];
-    Verdict { worth, breaches, by_clients, tries, resends, rude, remote_served, latencies }
+    let (loops_open, work_for_nobody) = (effort::loops_open(ledgers), effort::for_nobody(ledgers));
+    Verdict {
+        worth,
+        breaches,
+        by_clients,
+        tries,
+        resends,
+        rude,
+        remote_served,
+        loops_open,
+        work_for_nobody,
+        latencies,
+    }
 }
--- a/crates/heathroad-rehearsal/src/judge/rules.rs
+++ b/crates/heathroad-rehearsal/src/judge/rules.rs
@@ -204,7 +204,8 @@
             by_key.entry(key).or_default().push(a);
         }
     }
-    let tries: HashMap<u64, &Try> = ledgers.tries.iter().filter(|t| t.tier == 0).map(|t| (t.id, t)).collect();
+    let tries: HashMap<u64, &Try> =
+        ledgers.tries.iter().filter(|t| t.of_client()).map(|t| (t.id, t)).collect();
     let mut twice = Vec::new();
     for (key, mut runs) in by_key {
         runs.sort_by_key(|a| a.whole);
--- a/crates/heathroad-rehearsal/src/judge/worth.rs
+++ b/crates/heathroad-rehearsal/src/judge/worth.rs
@@ -45,7 +45,7 @@
 /// Worth by the plan and the tries, and the sorted latencies of what was served.
 pub fn of(plan: &Plan, tries: &[Try]) -> (Worth, Vec<Micros>) {
     let mut served = vec![None; plan.tries.len()];
-    for t in tries.iter().filter(|t| t.tier == 0 && t.number != PLANNED_REPEAT) {
+    for t in tries.iter().filter(|t| t.of_client() && t.number != PLANNED_REPEAT) {
         if let (End::Served(_), Some(s)) = (&t.end, served.get_mut(t.first as usize)) {
             // A slow reader's own time is not the service's.
             let at = t.ended.saturating_sub(t.slow);
--- a/crates/heathroad-rehearsal/src/ledger.rs
+++ b/crates/heathroad-rehearsal/src/ledger.rs
@@ -30,7 +30,7 @@
 pub struct Try {
     /// Its `Req-Id`.
     pub id: u64,
-    /// The tier asked; 0 for a client from outside.
+    /// The tier asked; 0 for a client from outside, and for calls that come round.
     pub tier: u8,
     /// The request that it is a part of; none for a client's.
     pub parent: Option<u64>,
@@ -65,6 +65,18 @@
     pub extra: bool,
 }
 
+impl Try {
+    /// Whether a client from outside asked; else a backend did, of the next tier or, gone astray, of the first again.
+    pub fn of_client(&self) -> bool {
+        self.parent.is_none()
+    }
+
+    /// Whether a backend asked the first tier again.
+    pub fn came_round(&self) -> bool {
+        self.tier == 0 && !self.of_client()
+    }
+}
+
 /// How a request ended, as its sender saw it.
 #[derive(Debug, Clone, PartialEq)]
 pub enum End {
--- a/crates/heathroad-rehearsal/src/outcome.rs
+++ b/crates/heathroad-rehearsal/src/outcome.rs
@@ -202,6 +202,7 @@
             self.peak_rss_mb(),
             v.resends
         )?;
+        writeln!(out, "  effort     {:.4} of the work was begun for nobody", v.work_for_nobody)?;
         if v.rude[0] > 0 {
             writeln!(out, "  misuse     {} bad clients, left with nothing {}", v.rude[0], v.rude[1])?;
         }
@@ -259,7 +260,7 @@
             "changes_undone" => Some(changes("is undone by")),
             "changes_given_up" => Some(changes("given up")),
             "attempts_multiple" => Some(multiple(seen)),
-            "loops_open" => Some(counted(seen, |v| v["budget"]["loops"].as_f64())),
+            "loops_ended" => Some(counted(seen, |v| v["budget"]["loops"].as_f64())),
             other => verdict.figure(other),
         };
         let Some(figure) = figure else { continue };
--- a/crates/heathroad-rehearsal/src/report.rs
+++ b/crates/heathroad-rehearsal/src/report.rs
@@ -142,7 +142,7 @@
     let plan = &outcome.seen.plan;
     let mut seconds = vec![Vec::new(); plan.length.div_ceil(SECOND).max(1) as usize];
     let last = seconds.len() - 1;
-    for t in outcome.seen.ledgers.tries.iter().filter(|t| t.tier == 0 && t.number != PLANNED_REPEAT) {
+    for t in outcome.seen.ledgers.tries.iter().filter(|t| t.of_client() && t.number != PLANNED_REPEAT) {
         let (End::Served(_), Some(first)) = (&t.end, plan.tries.get(t.first as usize)) else { continue };
         let second = (first.at.saturating_sub(plan.start) / SECOND) as usize;
         seconds[second.min(last)].push(t.ended.saturating_sub(t.slow + first.at));
--- a/crates/heathroad-rehearsal/src/scenario.rs
+++ b/crates/heathroad-rehearsal/src/scenario.rs
@@ -20,6 +20,7 @@
     ("undo-meets-drain", include_str!("../../../rehearsals/undo-meets-drain.toml")),
     ("chain-outage", include_str!("../../../rehearsals/chain-outage.toml")),
     ("chain-slow", include_str!("../../../rehearsals/chain-slow.toml")),
+    ("loop", include_str!("../../../rehearsals/loop.toml")),
     ("any-night", include_str!("../../../rehearsals/any-night.toml")),
     ("flood", include_str!("../../../rehearsals/flood.toml")),
     ("short", include_str!("../../../rehearsals/short.toml")),
@@ -335,6 +336,8 @@
     Spoil,
     /// Turns requests away.
     Decline,
+    /// Calls a proxy of the first tier in place of the next tier, as a wrong configuration would have it.
+    Loop,
     /// A proxy of the first tier is killed and started again.
     KillProxy,
     /// A proxy of the first tier is stopped as planned and started again.
@@ -354,7 +357,7 @@
 impl What {
     /// Whether it strikes backends; else proxies or the registry.
     pub fn strikes_backends(self) -> bool {
-        self <= What::Decline
+        self <= What::Loop
     }
     /// Whether it strikes proxies.
     pub fn strikes_proxies(self) -> bool {
@@ -374,6 +377,7 @@
             What::Reset => "reset",
             What::Spoil => "spoil",
             What::Decline => "decline",
+            What::Loop => "loop",
             What::KillProxy => "kill-proxy",
             What::StopProxy => "stop-proxy",
             What::ReloadProxy => "reload-proxy",
@@ -483,6 +487,8 @@
     "changes_given_up",
     "attempts_multiple",
     "loops_open",
+    "loops_ended",
+    "work_for_nobody",
 ];
 
 /// Reads a scenario by its shipped name or its file.
--- a/crates/heathroad-rehearsal/src/stage.rs
+++ b/crates/heathroad-rehearsal/src/stage.rs
@@ -686,6 +686,14 @@
                 clock.until(until).await;
                 odd(i, 0.0);
             }
+            What::Loop => {
+                // Each to one of them; where that is away, its calls find nobody.
+                let no = host.no % self.world.plan.scenario.run.proxies;
+                let at = self.slots[usize::from(no)].daemon.borrow().as_ref().map(|d| d.listens);
+                host.astray.set(at.map(|at| (no, at)));
+                clock.until(until).await;
+                host.astray.set(None);
+            }
             What::Hang => {
                 host.turn(Mode::Hang).await;
                 clock.until(until).await;
--- a/crates/heathroad-rehearsal/src/stand_in/backend.rs
+++ b/crates/heathroad-rehearsal/src/stand_in/backend.rs
@@ -115,6 +115,8 @@
     pub draining: Cell<bool>,
     /// Odds that an answer breaks off, is noise, or is a decline.
     pub odds: Cell<[f64; 3]>,
+    /// Gone astray, it calls this proxy of the first tier in place of the next tier.
+    pub astray: Cell<Option<(ProxyNo, SocketAddr)>>,
     /// The proxy through which it calls the next tier, and where that listens.
     pub side: Cell<Option<(ProxyNo, SocketAddr)>>,
     caller: Rc<Caller>,
@@ -181,6 +183,7 @@
             rng: RefCell::new(Rng::with_seed(world.plan.seed ^ (u64::from(no) << 32))),
             draining: Cell::new(false),
             odds: Cell::new([0.0; 3]),
+            astray: Cell::new(None),
             side: Cell::new(None),
             caller: Rc::default(),
         })
@@ -489,7 +492,9 @@
         let _works = Counted::one(&self.in_work);
         self.machine.work(work as f64 / 2.0).await;
         let mut spent = None;
-        for call in 0..tier.calls {
+        // One of the last tier, which calls nobody else, goes astray as well.
+        let calls = if self.astray.get().is_some() { tier.calls.max(1) } else { tier.calls };
+        for call in 0..calls {
             let (served, told) = self.call(id, mark, call, class, request, now).await;
             spent = told.or(spent);
             if !served {
@@ -505,7 +510,7 @@
         }
     }
 
-    /// Calls the next tier for a request; whether it was served, and what it was told of budgets.
+    /// Calls the next tier for a request, or the first, where it has gone astray; whether it was served, and what it was told of budgets.
     async fn call(
         &self,
         parent: u64,
@@ -515,7 +520,8 @@
         of: &Request,
         since: Micros,
     ) -> (bool, Option<String>) {
-        let Some((proxy, addr)) = self.side.get() else { return (false, None) };
+        let astray = self.astray.get();
+        let Some((proxy, addr)) = astray.or(self.side.get()) else { return (false, None) };
         let (plan, clock) = (&self.world.plan, self.world.clock);
         let passed = clock.now().saturating_sub(since) + HOP;
         let patience = (of.deadline_ms.unwrap_or(0) * 1000).saturating_sub(passed);
@@ -526,7 +532,8 @@
         let ask = Ask {
             id,
             path: format!("/{}?k={parent:x}", of_class.name),
-            tenant: None,
+            // The first tier serves tenants; whose request it was, no backend is told.
+            tenant: astray.map(|_| plan.scenario.tenant[0].name.clone()),
             key: key.filter(|_| of_class.effect == Effect::Keyed),
             safe: of_class.effect == Effect::Safe,
             patience,
@@ -540,7 +547,7 @@
         let served = matches!(told.end, End::Served(_));
         self.world.ledgers.borrow_mut().tries.push(Try {
             id,
-            tier: self.tier as u8 + 1,
+            tier: if astray.is_some() { 0 } else { self.tier as u8 + 1 },
             parent: Some(parent),
             first: 0,
             number: 0,
--- a/crates/heathroad-rehearsal/tests/common/mod.rs
+++ b/crates/heathroad-rehearsal/tests/common/mod.rs
@@ -97,8 +97,10 @@
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("bad-{}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("the folder for tests takes a folder");
     let link = folder.join(format!("bad-{vice}"));
-    if !link.exists() {
-        std::os::unix::fs::symlink(target().join("examples/bad-proxy"), &link).expect("a link");
+    match std::os::unix::fs::symlink(target().join("examples/bad-proxy"), &link) {
+        Ok(()) => {}
+        // Another test has the same vice.
+        Err(e) => assert_eq!(e.kind(), std::io::ErrorKind::AlreadyExists, "{e}"),
     }
     link
 }
--- a/crates/heathroad-rehearsal/tests/judge.rs
+++ b/crates/heathroad-rehearsal/tests/judge.rs
@@ -343,3 +343,47 @@
     assert_eq!(v.latencies, [100 * MS, 600 * MS, 1500 * MS]);
     assert_eq!(v.tries, [3, 0, 1, 0]);
 }
+
+/// A call that a backend made of the first tier again is no client's, whatever it came to; reaching a backend there, it
+/// goes round.
+#[test]
+fn calls_that_come_round_are_told_from_clients() {
+    let round = |end: End, reached: bool| {
+        let first = Try { end: End::Failed(502), ..try_of(7, SAFE) };
+        let again = Try { parent: Some(7), end, ..try_of(8, SAFE) };
+        let mut arrivals = vec![arrival(7, SAFE, SECOND)];
+        arrivals.extend(reached.then(|| arrival(8, SAFE, SECOND + MS)));
+        judged(&Ledgers { tries: vec![first, again], arrivals, ..Ledgers::default() })
+    };
+    let ended = round(End::Failed(508), false);
+    assert_eq!((ended.loops_open, ended.tries, ended.worth.earned), (0, [0, 0, 1, 0], 0.0));
+    let open = round(End::Served(8), true);
+    assert_eq!((open.loops_open, open.tries, open.worth.earned), (1, [0, 0, 1, 0], 0.0));
+    assert_eq!(open.figure("loops_open"), Some(1.0));
+}
+
+/// Work is for nobody from when the client at the chain's head is gone, however deep it is done.
+#[test]
+fn work_that_begins_when_its_client_has_gone_is_for_nobody() {
+    let share = |at: Micros| {
+        // Its client gave up after 100 ms; what was done for it before had its use.
+        let mut all = vec![Try { end: End::HungUp, ..try_of(7, SAFE) }];
+        all.push(Try { tier: 1, parent: Some(7), ..try_of(8, SAFE) });
+        all.push(Try { tier: 2, parent: Some(8), ..try_of(9, SAFE) });
+        let arrivals = vec![
+            Arrival { work: 3000, ..arrival(7, SAFE, SECOND) },
+            Arrival { work: 1000, tier: 2, ..arrival(9, SAFE, at) },
+            // Of nobody known, and turned away unseen: neither counts.
+            arrival(77, SAFE, at),
+            Arrival { fate: Fate::Declined, ..arrival(8, SAFE, at) },
+        ];
+        judged(&Ledgers { tries: all, arrivals, ..Ledgers::default() }).work_for_nobody
+    };
+    assert_eq!(share(SECOND + 100 * MS), 0.0);
+    assert_eq!(share(SECOND + 101 * MS), 0.25);
+    // Ids that lead in a circle lead to nobody, and to an end.
+    let circle = [(7, 8), (8, 7)].map(|(id, parent)| Try { parent: Some(parent), ..try_of(id, SAFE) });
+    let ledgers =
+        Ledgers { tries: circle.into(), arrivals: vec![arrival(7, SAFE, SECOND)], ..Ledgers::default() };
+    assert_eq!(judged(&ledgers).work_for_nobody, 0.0);
+}
--- a/crates/heathroad-rehearsal/tests/judged.rs
+++ b/crates/heathroad-rehearsal/tests/judged.rs
@@ -114,3 +114,22 @@
     let said = heathroad_rehearsal::scenario::parse("x.toml", &remote).expect_err("it has no listener");
     assert!(said.contains("clients.remote: `routes` have no listener"), "{said}");
 }
+
+/// Backends of the last tier call the first again for a moment. Daemons that keep budgets end each such call as it comes
+/// round; without budgets calls go round until their time is over, and the judge says so.
+#[test]
+fn loops_are_ended_by_budgets_and_seen_without() {
+    let tier = SMALL[SMALL.find("[[tier]]").expect("one")..SMALL.find("[[fault]]").expect("one")].to_string();
+    let gate = tier.replace("store", "gate").replace("cold_s", "calls = 1\ncold_s");
+    let head = &SMALL[..SMALL.find("[[tier]]").expect("one")];
+    let astray =
+        "[[fault]]\nwhat = \"loop\"\ntier = \"store\"\non = [\"store-1\"]\nat_s = 1.0\nfor_s = 1.0\n";
+    let chain = format!("{head}{gate}{tier}{astray}");
+    let without = sound(&chain, 5);
+    assert!(without.verdict.loops_open > 0, "{}", without.table());
+    let with = sound(&format!("{chain}[budget]\nattempts = 2\nshare = 0.2\ndepth = 20.0\n"), 5);
+    assert_eq!(with.verdict.loops_open, 0, "{}", with.table());
+    assert!(with.agrees() && with.verdict.breaches.is_empty(), "{}", with.table());
+    let ended = with.lines.iter().find(|l| l.what == "calls that came round, ended").expect("its line");
+    assert!(ended.counted > 0 && ended.seen[0] > 0, "{ended:?}");
+}
--- a/crates/heathroad/tests/budgets.rs
+++ b/crates/heathroad/tests/budgets.rs
@@ -139,6 +139,19 @@
     assert!(without as f64 > 1.2 * with as f64, "{without} beside {with}");
 }
 
+/// Half of the last tier is dead for good: the other half serves what that leaves undone, and little is sent again.
+#[tokio::test]
+async fn an_end_that_is_half_down_serves_and_makes_no_storm() {
+    const REQUESTS: usize = 300;
+    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+    socket.bind(([127, 0, 0, 1], 0).into()).expect("a port");
+    let dead = socket.local_addr().expect("bound");
+    let end = Server::start(&Arc::default(), Arc::new(|_, _| Act::Serve)).await;
+    let chain = chain_to(true, Arc::new(|_, _| Act::Serve), Some([dead, end.addr])).await;
+    let (served, attempts) = bounded(&chain, REQUESTS).await;
+    assert!(served >= REQUESTS * 9 / 10, "{served} of {REQUESTS}: {attempts:?}");
+}
+
 /// The last tier takes requests and answers none in time: what a caller has left goes down with its request, no tier works on
 /// for longer, and little is sent again.
 #[tokio::test]
@@ -238,35 +251,36 @@
     assert_eq!(counts(books).await["budget"]["carried"], 4);
 }
 
-/// The proxy leads to a server that calls the very same proxy, or one that leads back to it.
+/// Proxies whose servers call the next one, and the last one's the first again: one, two and five of them.
 #[tokio::test]
 async fn loops_end_within_one_pass() {
-    // Of one proxy.
-    let below = Arc::new(OnceLock::new());
-    let server = Server::start(&below, Arc::new(|_, _| Act::Call(1))).await;
-    let (proxy, admin) = proxy_over(&[server.addr], Some(budget("t1", true))).await;
-    below.set(proxy.addr).expect("not told yet");
-    let (status, _) = proxy.call("look").await;
-    assert!([502, 503].contains(&status), "{status}");
-    assert_eq!(server.came(), 1, "it ended when it came round, and was not sent again");
-    assert_eq!(counts(admin).await["budget"]["loops"], 1);
-    assert_eq!(counts(admin).await["unusable"]["508"], 1);
-    // Of two.
-    let (up, down) = (Arc::new(OnceLock::new()), Arc::new(OnceLock::new()));
-    let one = Server::start(&down, Arc::new(|_, _| Act::Call(1))).await;
-    let two = Server::start(&up, Arc::new(|_, _| Act::Call(1))).await;
-    let (first, admin) = proxy_over(&[one.addr], Some(budget("t1", true))).await;
-    let (second, _) = proxy_over(&[two.addr], Some(budget("t2", true))).await;
-    up.set(first.addr).expect("not told yet");
-    down.set(second.addr).expect("not told yet");
-    let (status, _) = first.call("look").await;
-    assert!([502, 503].contains(&status), "{status}");
-    assert_eq!((one.came(), two.came()), (1, 1));
-    assert_eq!(counts(admin).await["budget"]["loops"], 1);
-    // Keyed, and so by retries alone: nothing goes round a second time.
-    let (status, _) = first.call("keep").await;
-    assert!([502, 503].contains(&status), "{status}");
-    assert_eq!((one.came(), two.came()), (2, 2));
+    for length in [1, 2, 5] {
+        let addresses: Vec<Arc<OnceLock<SocketAddr>>> = (0..length).map(|_| Arc::default()).collect();
+        let (mut proxies, mut servers) = (Vec::new(), Vec::new());
+        for n in 0..length {
+            let server = Server::start(&addresses[(n + 1) % length], Arc::new(|_, _| Act::Call(1))).await;
+            let (proxy, admin) = proxy_over(&[server.addr], Some(budget(&format!("t{n}"), true))).await;
+            addresses[n].set(proxy.addr).expect("not told yet");
+            proxies.push((proxy, admin));
+            servers.push(server);
+        }
+        // The second one is keyed, and so may go by retries alone: nothing goes round a second time.
+        for (n, class) in ["look", "keep"].into_iter().enumerate() {
+            let (status, _) = proxies[0].0.call(class).await;
+            assert!([502, 503].contains(&status), "{length}: {status}");
+            let came: Vec<usize> = servers.iter().map(Server::came).collect();
+            assert!(
+                came.iter().all(|c| *c == n + 1),
+                "{length}: ended as it came round, not sent again: {came:?}"
+            );
+        }
+        let counts = counts(proxies[0].1).await;
+        assert_eq!(
+            (&counts["budget"]["loops"], &counts["unusable"]["508"]),
+            (&json!(2), &json!(2)),
+            "{length}"
+        );
+    }
 }
 
 /// A route that comes back once is no loop; a server that strips headers is found by the heap of the same.
