--- a/crates/heathroad/src/admin.rs
+++ b/crates/heathroad/src/admin.rs
@@ -1,6 +1,7 @@
 //! The operators' address, off unless it is named: what the daemon counts, as Prometheus text and as JSON, and where
 //! there are routes, changing them.
 
+use crate::effort::{sleep, spawn_local, timeout};
 use crate::router::{Router, words};
 use bytes::Bytes;
 use heathroad_routing::transaction::{Event, Said};
@@ -16,8 +17,6 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
-use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
 
 /// Most connections at once; further ones wait in the system's queue.
 pub const CONNECTIONS: usize = 4;
--- a/crates/heathroad/src/backend/http.rs
+++ b/crates/heathroad/src/backend/http.rs
@@ -2,6 +2,7 @@
 
 use super::{End, Idle, MAX_BODY, Pool, RETIRE, Target};
 use crate::budget::Purse;
+use crate::effort::{spawn_local, timeout};
 use crate::stream::{Outgoing, Progress, Watched};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -16,7 +17,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 use turnshift::api::Outcome;
 
 /// A body that has begun and makes no headway for so long is not coming: its length doesn't fit.
@@ -83,7 +84,7 @@
         let (sender, mut connection) = handshake.map_err(|_| Outcome::ConnectFailed)?;
         let leftover = Rc::<RefCell<Bytes>>::default();
         let left = leftover.clone();
-        let task = tokio::task::spawn_local(async move {
+        let task = spawn_local(async move {
             let _place = place;
             // Its end shows at the sender, where it has a meaning.
             let _ = poll_fn(|cx| connection.poll_without_shutdown(cx)).await;
--- a/crates/heathroad/src/backend/mod.rs
+++ b/crates/heathroad/src/backend/mod.rs
@@ -5,6 +5,7 @@
 pub mod rpc;
 
 use crate::budget::Purse;
+use crate::effort::{sleep, sleep_until, timeout};
 use bytes::Bytes;
 use http::Link;
 use std::cell::{Cell, RefCell};
@@ -17,7 +18,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, oneshot};
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::Instant;
 use turnshift::api::Outcome;
 
 /// Longest body that is passed on in either direction.
--- a/crates/heathroad/src/backend/rpc.rs
+++ b/crates/heathroad/src/backend/rpc.rs
@@ -3,6 +3,7 @@
 
 use super::{End, Pool, Target};
 use crate::budget::Purse;
+use crate::effort::{self, spawn_local, timeout};
 use bytes::{Buf, Bytes, BytesMut};
 use heathroad_jsonrpc::message::{self, INTERNAL_ERROR, METHOD_NOT_FOUND, Reply};
 use heathroad_jsonrpc::{Answer, Decoder, Framing, Limits, write};
@@ -15,8 +16,8 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::WriteHalf;
 use tokio::sync::{Notify, OwnedSemaphorePermit, oneshot};
-use tokio::task::{spawn_local, yield_now};
-use tokio::time::{Instant, timeout};
+use tokio::task::yield_now;
+use tokio::time::Instant;
 use turnshift::api::Outcome;
 
 /// Longest answer that is read.
@@ -308,9 +309,17 @@
         tokio::select! {
             biased;
             // What the backend has said, or that it has left, is seen before more is written to it.
-            read = reader.read_buf(decoder.buffer()) => if !read.is_ok_and(|n| n > 0) { return },
+            read = reader.read_buf(decoder.buffer()) => {
+                effort::read();
+                if !read.is_ok_and(|n| n > 0) {
+                    return;
+                }
+            }
             wrote = put(&mut writer, next.as_ref()) => match wrote {
-                Ok(n) if n > 0 => link.wrote(n),
+                Ok(n) if n > 0 => {
+                    effort::wrote();
+                    link.wrote(n);
+                }
                 _ => {
                     // An answer may lie there beside the end.
                     broken = true;
--- a/crates/heathroad/src/counts.rs
+++ b/crates/heathroad/src/counts.rs
@@ -2,6 +2,7 @@
 //! Counting is a handful of plain additions a request; names are looked up once for each pair of class and tenant.
 
 use crate::budget::Books;
+use crate::effort;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -171,6 +172,7 @@
     descriptors: Gauge,
     descriptors_most: Gauge,
     budget: Family<ByEvent, Counter>,
+    effort: Family<ByEvent, Counter>,
     books: RefCell<Option<Rc<Books>>>,
 }
 
@@ -239,6 +241,8 @@
         r.register("requests_open", "Requests that are owed an answer", open.clone());
         let budget = Family::<ByEvent, Counter>::default();
         r.register("budget", "Requests and attempts on the books of budgets", budget.clone());
+        let effort = Family::<ByEvent, Counter>::default();
+        r.register("effort", "What was asked of the system and the runtime", effort.clone());
         let descriptors = Gauge::default();
         r.register("descriptors", "Descriptors that the process holds", descriptors.clone());
         let descriptors_most = Gauge::default();
@@ -262,6 +266,7 @@
             descriptors,
             descriptors_most,
             budget,
+            effort,
             books: RefCell::default(),
         }
     }
@@ -334,6 +339,10 @@
             let counter = self.budget.get_or_create(&ByEvent { event });
             counter.inc_by(count.saturating_sub(counter.get()));
         }
+        for (event, count) in effort::NAMES.into_iter().zip(effort::so_far()) {
+            let counter = self.effort.get_or_create(&ByEvent { event });
+            counter.inc_by(count.saturating_sub(counter.get()));
+        }
         self.descriptors.set(gauge(descriptors[0]));
         self.descriptors_most.set(gauge(descriptors[1]));
         let mut text = String::new();
@@ -367,6 +376,7 @@
             descriptors: descriptors[0],
             descriptors_max: descriptors[1],
             budget: self.on_books(),
+            effort: effort::NAMES.into_iter().zip(effort::so_far()).collect(),
         };
         // Nothing in it can fail to be written as JSON: keys are text, figures finite.
         serde_json::to_string(&whole).unwrap_or_default()
@@ -477,6 +487,7 @@
     descriptors_max: usize,
     #[serde(skip_serializing_if = "BTreeMap::is_empty")]
     budget: BTreeMap<&'a str, u64>,
+    effort: BTreeMap<&'a str, u64>,
 }
 
 #[cfg(test)]
--- a/crates/heathroad/src/discovery.rs
+++ b/crates/heathroad/src/discovery.rs
@@ -1,5 +1,6 @@
 //! Discovery: the list of backends, and the watch on its changes.
 
+use crate::effort::{sleep, spawn_local, timeout};
 use crate::roster::{Host, Page};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
@@ -10,7 +11,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::Instant;
 use turnshift::api::ListKind;
 
 /// How long a watch waits for a change; short, so that a dead watch is soon noticed.
@@ -113,7 +114,7 @@
     let stream = stream.map_err(|e| format!("{address}: {e}"))?;
     stream.set_nodelay(true).map_err(|e| e.to_string())?;
     let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
-    tokio::task::spawn_local(async move {
+    spawn_local(async move {
         // Its end shows at the sender.
         let _ = connection.await;
     });
--- a/crates/heathroad/src/engine.rs
+++ b/crates/heathroad/src/engine.rs
@@ -4,6 +4,7 @@
 use crate::backend::{Attempt, Call, End, Pool, Target};
 use crate::budget::{OnBooks, Purse};
 use crate::counts::{Counts, Final, Moment, Notice, Special};
+use crate::effort::{sleep, sleep_until, spawn_local};
 use crate::roster::{Health, Host};
 use bytes::Bytes;
 use heathroad_budget::account::Loan;
@@ -14,7 +15,7 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, watch};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::Instant;
 use turnshift::Balancer;
 use turnshift::api::{
     Action, Arrival, BackendId, Entry, Event, ListKind, Outcome, Phase, RequestId, Resolved, SettingsError,
@@ -349,7 +350,7 @@
     pub fn end_by(self: &Rc<Self>, last: Instant) {
         self.last.set(Some(last));
         let engine = self.clone();
-        tokio::task::spawn_local(async move {
+        spawn_local(async move {
             sleep_until(last).await;
             let open: Vec<RequestId> = {
                 let s = &mut *engine.state.borrow_mut();
@@ -428,7 +429,7 @@
             Action::WakeMe { .. } if self.closed.get() && s.requests.is_empty() => {}
             Action::WakeMe { delay, token } => {
                 let engine = self.clone();
-                tokio::task::spawn_local(async move {
+                spawn_local(async move {
                     sleep(millis(delay)).await;
                     engine.tell(Event::Wake { token });
                 });
@@ -488,7 +489,7 @@
                 spare: None,
             }));
         };
-        tokio::task::spawn_local(attempt.run(pool, move |end| engine.ended(request, number, end), late));
+        spawn_local(attempt.run(pool, move |end| engine.ended(request, number, end), late));
     }
 
     /// An attempt ended. The first served answer goes to the caller by itself.
--- a/crates/heathroad/src/front.rs
+++ b/crates/heathroad/src/front.rs
@@ -4,6 +4,7 @@
 use crate::backend::{Call, MAX_BODY};
 use crate::budget::{self, Books, SPENT};
 use crate::counts::Final;
+use crate::effort::{sleep, timeout_at};
 use crate::engine::{Answer, Incoming, millis};
 use crate::router::{Ask, Bound, Router};
 use crate::stream::{Progress, Watched};
@@ -26,7 +27,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
-use tokio::time::{Instant, interval, sleep, timeout_at};
+use tokio::time::{Instant, interval};
 use turnshift::api::Effect;
 use turnshift::settings::Facts;
 
--- a/crates/heathroad/src/remote.rs
+++ b/crates/heathroad/src/remote.rs
@@ -1,5 +1,6 @@
 //! Asking a running daemon at its admin address, for the command line.
 
+use crate::effort::timeout;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::handshake;
@@ -8,7 +9,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
 
 /// An answer that takes longer is not coming.
 const PATIENCE: Duration = Duration::from_secs(10);
--- a/crates/heathroad/src/router.rs
+++ b/crates/heathroad/src/router.rs
@@ -7,6 +7,7 @@
 use crate::counts::{Counts, Meter, Moment};
 use crate::discovery::{self, News};
 use crate::disk::Folder;
+use crate::effort::{sleep, spawn_local, timeout};
 use crate::engine::Engine;
 use crate::gate::{self, Expected, Gate};
 use crate::roster::{Health, Host};
@@ -29,8 +30,8 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::task::{AbortHandle, spawn_local};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
 use turnshift::api::{self, Effect, ListKind};
 use turnshift::settings::Facts;
 
--- a/crates/heathroad/src/rpc.rs
+++ b/crates/heathroad/src/rpc.rs
@@ -6,6 +6,7 @@
 use crate::backend::{Call as Outward, rpc};
 use crate::budget::{self, Books};
 use crate::counts::Final;
+use crate::effort::{self, sleep, sleep_until, timeout};
 use crate::engine::{Answer, Incoming, millis};
 use crate::front::{Guest, Room, SPARE as SPARE_PLACES, Stock, Taken, away};
 use crate::pace::Pace;
@@ -30,7 +31,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
 use tokio::task::{JoinSet, yield_now};
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::Instant;
 use turnshift::api::Effect;
 use turnshift::settings::Facts;
 
@@ -364,7 +365,7 @@
     ended: bool,
 ) -> std::io::Result<usize> {
     match (reading, ended) {
-        (true, _) => reader.read_buf(decoder.buffer()).await,
+        (true, _) => reader.read_buf(decoder.buffer()).await.inspect(|_| effort::read()),
         (_, true) => {
             reader.ready(Interest::ERROR).await?;
             Err(std::io::ErrorKind::ConnectionReset.into())
@@ -476,6 +477,7 @@
                 biased;
                 wrote = writer.write(&out), if !out.is_empty() => match wrote {
                     Ok(n) if n > 0 => {
+                        effort::wrote();
                         out.advance(n);
                         moved = Instant::now();
                     }
--- a/crates/heathroad/src/stream.rs
+++ b/crates/heathroad/src/stream.rs
@@ -1,6 +1,7 @@
 //! A stream that watches itself: whether a request got out whole, whether the other side has stopped taking
 //! bytes, and since when it speaks.
 
+use crate::effort::{self, sleep};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::rt::{Read, ReadBufCursor, Write};
@@ -16,7 +17,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::{Instant, Sleep, sleep};
+use tokio::time::{Instant, Sleep};
 
 /// A silent machine resets nothing: a write that makes no headway for so long has failed.
 const STALL: Duration = Duration::from_secs(10);
@@ -115,6 +116,7 @@
 impl Peek for TokioIo<TcpStream> {
     fn unread(&self) -> bool {
         // The reactor knows only what it was told when it last looked.
+        effort::look();
         let seen = SockRef::from(self.inner()).peek(&mut [MaybeUninit::uninit()]);
         !matches!(seen, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
@@ -145,6 +147,7 @@
             return stalled.as_mut().poll(cx).map(|()| Err(io::ErrorKind::TimedOut.into()));
         }
         self.stalled = None;
+        effort::wrote();
         if let Poll::Ready(Ok(1..)) = result {
             self.progress.begun.set(true);
         }
@@ -169,6 +172,7 @@
     ) -> Poll<io::Result<()>> {
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
         if read.is_ready() {
+            effort::read();
             let now = Instant::now();
             self.progress.heard.set(Some(now));
             self.progress.speaks.set(self.progress.speaks.get().or(Some(now)));
