Attempts are carried by who waits for them; heads are read in one walk; quicker tables

Seen there: a task with its future moved for each attempt, two channels and two timers a request; 2,600 instructions in making room for a stated number of header lines, four times a request; a look-up with its own hash for each header; SipHash on numbers of our own. Now attempts run in the task that waits (wait.rs) and get one of their own only when they outlast it, the timer for the silent module is made only when no attempt stands for it, header lines are counted here to the same bound of 64, and maps by our own numbers use FxHash.

--- a/crates/heathroad-cost/src/main.rs
+++ b/crates/heathroad-cost/src/main.rs
@@ -71,6 +71,7 @@
         true => case::ALL.iter().collect(),
         false => cli.cases.iter().map(named).collect::<Result<Vec<_>, _>>()?,
     };
+    subject::measure_beside()?;
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(3).enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
     runtime.block_on(async {
--- a/crates/heathroad-cost/src/subject.rs
+++ b/crates/heathroad-cost/src/subject.rs
@@ -4,6 +4,7 @@
 use crate::bare;
 use crate::case::{Case, Way};
 use crate::node::Nodes;
+use rustix::thread::{CpuSet, Pid, sched_getaffinity, sched_setaffinity};
 use serde_json::{Value, json};
 use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
 use std::alloc::System;
@@ -11,6 +12,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{ExitCode, Stdio};
+use std::sync::OnceLock;
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader, Lines};
 use tokio::net::TcpStream;
@@ -24,6 +26,10 @@
 const BE: &str = "HEATHROAD_COST_SUBJECT";
 /// The yardstick's backends.
 const NODES: &str = "HEATHROAD_COST_NODES";
+/// A program, with its arguments, that subjects are run under: one that counts instructions, say.
+const UNDER: &str = "HEATHROAD_COST_UNDER";
+/// The processors that this process began with.
+static ALLOWED: OnceLock<Option<CpuSet>> = OnceLock::new();
 /// What should come comes by then.
 const SOON: Duration = Duration::from_secs(20);
 
@@ -106,12 +112,44 @@
     })
 }
 
+/// The processor that a subject has for itself: the last one that this process may use, where there are four or more.
+fn own_processor() -> Option<usize> {
+    let set = ALLOWED.get_or_init(|| sched_getaffinity(None).ok()).as_ref()?;
+    let usable = || (0..CpuSet::MAX_CPU).filter(|cpu| set.is_set(*cpu));
+    usable().next_back().filter(|_| usable().count() >= 4)
+}
+
+/// Callers and backends keep to the other processors. Threads that begin later, and those alone, do the same.
+pub fn measure_beside() -> Result<(), String> {
+    let Some(last) = own_processor() else { return Ok(()) };
+    let mut set = sched_getaffinity(None).map_err(|e| e.to_string())?;
+    set.unset(last);
+    sched_setaffinity(None, &set).map_err(|e| format!("processors: {e}"))
+}
+
 fn start(be: &str, (name, value): (&str, &str)) -> Result<Child, String> {
     let own = std::env::current_exe().map_err(|e| e.to_string())?;
-    let mut command = Command::new(own);
+    let under = std::env::var(UNDER).unwrap_or_default();
+    let mut words = under.split_whitespace();
+    let mut command = match words.next() {
+        None => Command::new(own),
+        Some(program) => {
+            let mut command = Command::new(program);
+            command.args(words).arg(own);
+            command
+        }
+    };
     command.env(BE, be).env_remove("RELAY_LISTEN").env_remove("RELAY_ADMIN").env_remove("RELAY_DISCOVERY");
-    command.stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(Stdio::piped()).kill_on_drop(true);
-    command.env(name, value).spawn().map_err(|e| format!("{be}: {e}"))
+    command.stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(Stdio::piped());
+    let child = command.env(name, value).spawn().map_err(|e| format!("{be}: {e}"))?;
+    // A processor of its own, where there are enough: see `measure_beside`.
+    let pid = child.id().and_then(|id| Pid::from_raw(id as i32));
+    if let (Some(last), Some(pid)) = (own_processor(), pid) {
+        let mut set = CpuSet::new();
+        set.set(last);
+        sched_setaffinity(Some(pid), &set).map_err(|e| format!("{be}: its processor: {e}"))?;
+    }
+    Ok(child)
 }
 
 async fn address(log: &mut Lines<BufReader<ChildStderr>>, says: &str) -> Result<SocketAddr, String> {
--- a/crates/heathroad/src/backend/http.rs
+++ b/crates/heathroad/src/backend/http.rs
@@ -1,6 +1,6 @@
 //! Attempts over HTTP/1.1: a connection carries one request at a time.
 
-use super::{End, Idle, MAX_BODY, Pool, RETIRE, Target};
+use super::{End, Idle, Line, MAX_BODY, Pool, RETIRE, Target};
 use crate::budget::Purse;
 use crate::effort::{spawn_local, timeout};
 use crate::stream::{Outgoing, Progress, Watched};
@@ -8,10 +8,10 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
-use hyper::header::{HOST, HeaderValue};
+use hyper::header::{HOST, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri, header};
 use hyper_util::rt::TokioIo;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -28,6 +28,18 @@
 const MAX_HEAD: usize = 16 * 1024;
 const MAX_HEADERS: usize = 64;
 
+/// A body of fewer bytes is copied, so that a slow caller's answer does not keep the whole buffer that it came in.
+const SMALL: usize = 2048;
+
+/// A request's own id.
+pub static ID: HeaderName = HeaderName::from_static("req-id");
+/// How long it is waited for, in milliseconds.
+pub static DEADLINE: HeaderName = HeaderName::from_static("req-deadline-ms");
+/// By which its repeats are known.
+pub static KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// A backend says by it that it has not looked at the request.
+static DECLINED: HeaderName = HeaderName::from_static("srv-declined");
+
 /// A request as every attempt of it goes out.
 pub struct Call {
     /// Its method.
@@ -79,7 +91,7 @@
         let watched = Watched::new(TokioIo::new(stream));
         let progress = watched.progress();
         let mut builder = Builder::new();
-        builder.max_buf_size(MAX_HEAD).max_headers(MAX_HEADERS);
+        builder.max_buf_size(MAX_HEAD);
         let handshake = builder.handshake(watched).await;
         let (sender, mut connection) = handshake.map_err(|_| Outcome::ConnectFailed)?;
         let leftover = Rc::<RefCell<Bytes>>::default();
@@ -94,14 +106,14 @@
     }
 }
 
-/// Sends the request and reads its answer; `written` tells that it was handed to a connection.
+/// Sends the request and reads its answer; `line` is told when it was handed to a connection.
 pub(super) async fn exchange(
     pool: &Rc<Pool>,
     call: &Call,
     target: &Rc<Target>,
     not_past: Instant,
-    written: Rc<Cell<bool>>,
-    purse: Option<Rc<Purse>>,
+    line: &Line,
+    purse: Option<&Purse>,
 ) -> End {
     let (mut link, answer) = loop {
         let (mut link, kept) = match pool.reuse(target) {
@@ -116,10 +128,8 @@
         if pool.drained(target) {
             return End::Unserved(Outcome::Moot);
         }
-        let Some(request) = call.request(&link.progress, not_past, purse.as_deref()) else {
-            return End::Unserved(Outcome::Moot);
-        };
-        written.set(true);
+        let request = call.request(&link.progress, not_past, purse);
+        line.written();
         match link.sender.send_request(request).await {
             Ok(answer) => break (link, answer),
             // A kept connection that turned out to be closed, or to hold bytes that are no answer to this: not a
@@ -130,7 +140,7 @@
             Err(_) => return End::Unserved(Outcome::ConnectFailed),
         }
     };
-    let sound = match read(answer, purse.as_deref()).await {
+    let sound = match read(answer, purse).await {
         Some(end) => settle(&mut link, end).await,
         None => None,
     };
@@ -168,26 +178,43 @@
     if let Some(purse) = purse {
         purse.read(&head.headers);
     }
-    let declined = head.headers.get("srv-declined").is_some_and(|v| v == "1");
-    let lengths = head.headers.get_all(header::CONTENT_LENGTH).iter().count();
-    let codings = head.headers.get_all(header::TRANSFER_ENCODING).iter().count();
+    // One walk over the few lines that there are costs less than a look-up for each name.
+    let (mut declined, mut lengths, mut codings) = (None, 0, 0);
+    for (name, value) in &head.headers {
+        if name == header::CONTENT_LENGTH {
+            lengths += 1;
+        } else if name == header::TRANSFER_ENCODING {
+            codings += 1;
+        } else if name == DECLINED {
+            declined.get_or_insert(value == "1");
+        }
+    }
+    let declined = declined.unwrap_or(false);
     let bodiless = matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-    if lengths + codings != usize::from(!bodiless) && !(bodiless && lengths == 1)
+    if head.headers.len() > MAX_HEADERS
+        || lengths + codings != usize::from(!bodiless) && !(bodiless && lengths == 1)
         || body.size_hint().lower() > MAX_BODY as u64
     {
         return None;
     }
-    let mut bytes = BytesMut::new();
+    let (mut first, mut bytes) = (Bytes::new(), BytesMut::new());
     // An answer that breaks off is none: the request may have run.
     while let Some(frame) = timeout(PAUSE, body.frame()).await.ok()? {
         let Ok(data) = frame.ok()?.into_data() else { continue };
-        if bytes.len() + data.len() > MAX_BODY {
+        if first.len() + bytes.len() + data.len() > MAX_BODY {
             return None;
         }
+        if first.is_empty() && bytes.is_empty() {
+            // Most answers come in one piece.
+            first = if data.len() < SMALL { Bytes::copy_from_slice(&data) } else { data };
+            continue;
+        }
+        bytes.extend_from_slice(&std::mem::take(&mut first));
         bytes.extend_from_slice(&data);
     }
+    let whole = if bytes.is_empty() { first } else { bytes.freeze() };
     Some(match head.status {
-        StatusCode::OK => End::Served(bytes.freeze()),
+        StatusCode::OK => End::Served(whole),
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if declined => {
             End::Unserved(Outcome::Full)
         }
@@ -206,24 +233,26 @@
         progress: &Rc<Progress>,
         not_past: Instant,
         purse: Option<&Purse>,
-    ) -> Option<Request<Outgoing>> {
+    ) -> Request<Outgoing> {
         let remains = not_past.saturating_duration_since(Instant::now());
         let left = remains.as_millis() as u64;
-        let mut request = Request::builder().method(self.method.clone()).uri(self.uri.clone());
-        let headers = request.headers_mut()?;
+        let mut request = Request::new(Outgoing::new(self.body.clone(), progress.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        let headers = request.headers_mut();
         let host = self.host.clone().unwrap_or(HeaderValue::from_static("heathroad"));
         headers.insert(HOST, host);
-        headers.insert("req-id", self.id.clone());
-        headers.insert("req-deadline-ms", HeaderValue::from(left));
+        headers.insert(&ID, self.id.clone());
+        headers.insert(&DEADLINE, HeaderValue::from(left));
         if let Some(purse) = purse {
             purse.write(headers, remains);
         }
         if let Some(key) = &self.key {
-            headers.insert("idempotency-key", key.clone());
+            headers.insert(&KEY, key.clone());
         }
         if self.body.is_empty() && self.method != Method::GET {
             headers.insert(header::CONTENT_LENGTH, HeaderValue::from_static("0"));
         }
-        request.body(Outgoing::new(self.body.clone(), progress.clone())).ok()
+        request
     }
 }
--- a/crates/heathroad/src/backend/mod.rs
+++ b/crates/heathroad/src/backend/mod.rs
@@ -8,16 +8,19 @@
 use crate::effort::{sleep, sleep_until, timeout};
 use bytes::Bytes;
 use http::Link;
+use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
+use std::task::{Poll, Waker};
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, oneshot};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
 use turnshift::api::Outcome;
 
@@ -111,9 +114,9 @@
     /// Those in use, by name, address and start: pools that name one process share it and its connections.
     known: RefCell<HashMap<(String, SocketAddr, u64), Weak<Target>>>,
     /// By the target's number.
-    idle: RefCell<HashMap<u64, Vec<Idle>>>,
+    idle: RefCell<FxHashMap<u64, Vec<Idle>>>,
     /// Connections for JSON-RPC, those in use too, by the target's number.
-    rpc: RefCell<HashMap<u64, Vec<Rc<rpc::Link>>>>,
+    rpc: RefCell<FxHashMap<u64, Vec<Rc<rpc::Link>>>>,
     places: Arc<Semaphore>,
     draining: Rc<Cell<usize>>,
     /// Most overtaken attempts whose answers are awaited.
@@ -277,13 +280,13 @@
     call: &Call,
     target: &Rc<Target>,
     not_past: Instant,
-    written: Rc<Cell<bool>>,
-    purse: Option<Rc<Purse>>,
+    line: &Line,
+    purse: Option<&Purse>,
 ) -> End {
     match call {
-        Call::Http(call) => http::exchange(pool, call, target, not_past, written, purse).await,
+        Call::Http(call) => http::exchange(pool, call, target, not_past, line, purse).await,
         // In a box, so that calls over HTTP need no room for it.
-        Call::Rpc(call) => Box::pin(rpc::exchange(pool, call, target, not_past, written, purse)).await,
+        Call::Rpc(call) => Box::pin(rpc::exchange(pool, call, target, not_past, line, purse)).await,
     }
 }
 
@@ -294,6 +297,52 @@
     matches!(e.raw_os_error(), Some(ENFILE | EMFILE))
 }
 
+/// What an attempt shares with who sent it.
+#[derive(Default)]
+pub struct Line {
+    written: Cell<bool>,
+    withdrawn: Cell<bool>,
+    reported: Cell<bool>,
+    waker: Cell<Option<Waker>>,
+}
+
+impl Line {
+    /// Withdraws the attempt; one that has ended needs no withdrawal.
+    pub fn withdraw(&self) {
+        self.withdrawn.set(true);
+        if let Some(waker) = self.waker.take() {
+            waker.wake();
+        }
+    }
+
+    /// The attempt reports its end.
+    pub fn report(&self) {
+        self.reported.set(true);
+    }
+
+    /// Whether the attempt has reported its end; its work may go on.
+    pub fn reported(&self) -> bool {
+        self.reported.get()
+    }
+
+    /// The request was handed to a connection.
+    fn written(&self) {
+        self.written.set(true);
+    }
+
+    async fn withdrawn(&self) {
+        poll_fn(|cx| {
+            if self.withdrawn.get() {
+                return Poll::Ready(());
+            }
+            let waker = self.waker.take().filter(|w| w.will_wake(cx.waker()));
+            self.waker.set(Some(waker.unwrap_or_else(|| cx.waker().clone())));
+            Poll::Pending
+        })
+        .await;
+    }
+}
+
 /// One attempt: when it must end, and who may call it off.
 pub struct Attempt {
     /// The request.
@@ -302,8 +351,8 @@
     pub target: Rc<Target>,
     /// When it is given up.
     pub not_past: Instant,
-    /// Withdraws it.
-    pub cancelled: oneshot::Receiver<()>,
+    /// What it shares with who sent it, who may withdraw it.
+    pub line: Rc<Line>,
     /// What it takes along and brings back, where budgets are kept.
     pub purse: Option<Rc<Purse>>,
 }
@@ -314,23 +363,26 @@
     /// and cost both sides a new connection. The backend works on, and is loaded by that: when the answer
     /// has come after all, or the connection is closed, `late` tells of it, once.
     pub async fn run(self, pool: Rc<Pool>, report: impl FnOnce(End), late: impl FnOnce(End)) {
-        let Attempt { call, target, not_past, mut cancelled, purse } = self;
-        let written = Rc::new(Cell::new(false));
-        let mut exchange = pin!(exchange(&pool, &call, &target, not_past, written.clone(), purse.clone()));
+        let Attempt { call, target, not_past, line, purse } = self;
+        let mut exchange = pin!(exchange(&pool, &call, &target, not_past, &line, purse.as_deref()));
+        let report = |end| {
+            line.report();
+            report(end);
+        };
         let given_up = tokio::select! {
             biased;
             end = &mut exchange => return report(end),
             () = sleep_until(not_past) => Outcome::Timeout,
-            Ok(()) = &mut cancelled => Outcome::Cancelled,
+            () = line.withdrawn() => Outcome::Cancelled,
         };
         report(End::Unserved(given_up));
         let unseen = End::Unserved(given_up);
         // Its server is told by the close, and what it has not sent on yet is dropped: the work ends here and now.
-        if purse.is_some_and(|p| p.stops()) {
+        if purse.as_ref().is_some_and(|p| p.stops()) {
             return late(unseen);
         }
         let place = Place::take(&pool.draining, pool.draining_most);
-        late(if written.get() && pool.limits.may_duplicate && place.is_some() {
+        late(if line.written.get() && pool.limits.may_duplicate && place.is_some() {
             // Whether it came or not, nobody waits for the answer itself.
             tokio::select! {
                 end = exchange => end,
@@ -350,6 +402,7 @@
     use hyper::{Method, Uri};
     use tokio::io::AsyncReadExt;
     use tokio::net::TcpListener;
+    use tokio::sync::oneshot;
     use tokio::task::{LocalSet, spawn_local};
 
     /// With a single place: an attempt that was overtaken holds it, then one at rest does.
@@ -369,10 +422,10 @@
                 let uri = Uri::from_static("/look");
                 let (method, body) = (Method::GET, Bytes::new());
                 let call = Call::Http(http::Call { method, uri, host: None, id, key: None, body });
-                let (cancel, cancelled) = oneshot::channel();
-                let not_past = Instant::now() + connect;
+                let (line, not_past) = (Rc::<Line>::default(), Instant::now() + connect);
                 let (call, target) = (Rc::new(call), target.clone());
-                let attempt = Attempt { call, target: target.clone(), not_past, cancelled, purse: None };
+                let attempt =
+                    Attempt { call, target: target.clone(), not_past, line: line.clone(), purse: None };
                 let (report, reported) = oneshot::channel();
                 let report = |end: End| report.send(end.outcome()).expect("awaited");
                 let (late, ended) = oneshot::channel();
@@ -380,7 +433,7 @@
                 spawn_local(attempt.run(pool.clone(), report, late));
                 let (mut backend, _) = listener.accept().await.expect("it came");
                 assert_ne!(backend.read(&mut [0; 1024]).await.expect("open"), 0);
-                cancel.send(()).expect("it is out");
+                line.withdraw();
                 assert_eq!(reported.await, Ok(Outcome::Cancelled));
                 let link = pool.connect(dial).await.expect("the overtaken one gives way");
                 assert_eq!(ended.await, Ok(Outcome::Cancelled));
--- a/crates/heathroad/src/backend/rpc.rs
+++ b/crates/heathroad/src/backend/rpc.rs
@@ -1,14 +1,15 @@
 //! Attempts over JSON-RPC: a connection carries one call or several at once, under ids of the proxy's own. That a call
 //! never ran is claimed only where the last byte of its text was not written.
 
-use super::{End, Pool, Target};
+use super::{End, Line, Pool, Target};
 use crate::budget::Purse;
 use crate::effort::{self, spawn_local, timeout};
 use bytes::{Buf, Bytes, BytesMut};
 use heathroad_jsonrpc::message::{self, INTERNAL_ERROR, METHOD_NOT_FOUND, Reply};
 use heathroad_jsonrpc::{Answer, Decoder, Framing, Limits, write};
+use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -103,7 +104,7 @@
     queue: VecDeque<Frame>,
     /// Begun.
     now: Option<Frame>,
-    pending: HashMap<u64, Pending>,
+    pending: FxHashMap<u64, Pending>,
     /// Calls that nobody waits for any more, whose answers may still come.
     abandoned: HashSet<u64>,
     next: u64,
@@ -380,14 +381,14 @@
     }
 }
 
-/// Sends a call and waits for its answer; `written` tells that it was handed to a connection.
+/// Sends a call and waits for its answer; `line` is told when it was handed to a connection.
 pub(super) async fn exchange(
     pool: &Rc<Pool>,
     call: &Call,
     target: &Rc<Target>,
     not_past: Instant,
-    written: Rc<Cell<bool>>,
-    purse: Option<Rc<Purse>>,
+    line: &Line,
+    purse: Option<&Purse>,
 ) -> End {
     loop {
         let (link, kept) = match pool.rpc_link(target, call.way.calls) {
@@ -400,11 +401,11 @@
         if pool.drained(target) {
             return End::Unserved(Outcome::Moot);
         }
-        let mut waiting = link.ask(call, not_past, purse.as_deref());
-        written.set(true);
+        let mut waiting = link.ask(call, not_past, purse);
+        line.written();
         return match (&mut waiting.end).await {
             Ok(Ended::Answered(answer)) => {
-                if let Some(purse) = &purse {
+                if let Some(purse) = purse {
                     purse.read_text(answer.spent.as_deref());
                 }
                 meaning(answer, call.way.declined)
--- a/crates/heathroad/src/effort.rs
+++ b/crates/heathroad/src/effort.rs
@@ -4,7 +4,7 @@
 use std::cell::Cell;
 use std::future::Future;
 use std::time::Duration;
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{Instant, Sleep, Timeout};
 
 /// The figures' names, in the order of [`so_far`].
@@ -52,6 +52,13 @@
     tokio::task::spawn_local(future)
 }
 
+/// [`JoinSet::spawn_local`], counted.
+#[allow(clippy::disallowed_methods, reason = "here it is counted")]
+pub fn spawn_in<T: 'static>(set: &mut JoinSet<T>, future: impl Future<Output = T> + 'static) {
+    one(TASKS);
+    set.spawn_local(future);
+}
+
 /// [`tokio::time::sleep`], counted.
 #[allow(clippy::disallowed_methods, reason = "here it is counted")]
 pub fn sleep(time: Duration) -> Sleep {
--- a/crates/heathroad/src/engine.rs
+++ b/crates/heathroad/src/engine.rs
@@ -1,20 +1,22 @@
 //! The only owner of the decision module: turns what happens on the sockets into its events, in order, and
 //! carries out its actions. Keeps the ids, the clock, the timers and each request's life.
 
-use crate::backend::{Attempt, Call, End, Pool, Target};
+use crate::backend::{Attempt, Call, End, Line, Pool, Target};
 use crate::budget::{OnBooks, Purse};
 use crate::counts::{Counts, Final, Moment, Notice, Special};
 use crate::effort::{sleep, sleep_until, spawn_local};
 use crate::roster::{Health, Host};
+use crate::wait::{Running, Wait};
 use bytes::Bytes;
 use heathroad_budget::account::Loan;
 use heathroad_budget::wire::Spent;
+use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::watch;
 use tokio::time::Instant;
 use turnshift::Balancer;
 use turnshift::api::{
@@ -101,15 +103,15 @@
     Duration::from_secs_f64(if ms.is_finite() { (ms / 1000.0).clamp(0.0, 86_400.0) } else { 0.0 })
 }
 
-/// What a request is owed. The way to the caller is spent by its one answer.
+/// What a request is owed. The way to who waits is spent by its one answer.
 enum Life {
-    Owed(oneshot::Sender<Told>),
+    Owed(Rc<Wait<Told>>),
     Over,
 }
 
 struct Out {
     sent: Instant,
-    cancel: Option<oneshot::Sender<()>>,
+    line: Rc<Line>,
     /// What it was lent, and the purse that it went with.
     lent: Option<(Loan, Rc<Purse>)>,
 }
@@ -128,12 +130,11 @@
 impl Open {
     /// Gives the answer if one is still owed.
     fn answer(&mut self, answer: Answer) {
-        if let Life::Owed(caller) = std::mem::replace(&mut self.life, Life::Over) {
+        if let Life::Owed(wait) = std::mem::replace(&mut self.life, Life::Over) {
             // What was tried here and did not help is of no use to try again from above.
             let failed = !matches!(answer, Answer::Served(_)) && !self.attempts.is_empty();
             let spent = self.budget.as_ref().and_then(|b| b.spent(failed));
-            // A caller that has just left takes no answer; its hang-up says so.
-            let _ = caller.send((answer, spent));
+            wait.tell((answer, spent));
         }
     }
     fn done(&self) -> bool {
@@ -164,8 +165,8 @@
 struct State {
     balancer: Balancer,
     ids: HashMap<String, BackendId>,
-    backends: HashMap<BackendId, Known>,
-    requests: HashMap<RequestId, Open>,
+    backends: FxHashMap<BackendId, Known>,
+    requests: FxHashMap<RequestId, Open>,
     next: RequestId,
     events: VecDeque<Event>,
     actions: Vec<Action>,
@@ -198,8 +199,8 @@
         let state = State {
             balancer: Balancer::new(facts.settings.clone(), seed)?,
             ids: HashMap::new(),
-            backends: HashMap::new(),
-            requests: HashMap::new(),
+            backends: FxHashMap::default(),
+            requests: FxHashMap::default(),
             next: 1,
             events: VecDeque::new(),
             actions: Vec::new(),
@@ -237,7 +238,7 @@
             return (Answer::TimedOut, None);
         }
         let key = incoming.key.map_or(0, |k| hash(&k).max(1));
-        let (caller, answer) = oneshot::channel();
+        let wait = Rc::<Wait<Told>>::default();
         let request = {
             let s = &mut *self.state.borrow_mut();
             if s.requests.len() >= self.facts.site.open_cap {
@@ -247,19 +248,15 @@
             let id = s.next;
             s.next += 1;
             let call = Rc::new(incoming.call);
-            let life = Life::Owed(caller);
+            let life = Life::Owed(wait.clone());
             s.requests.insert(id, Open { call, life, attempts: Vec::new(), last: None, budget });
             id
         };
         let (class, tenant, received) = (incoming.class, incoming.tenant, incoming.received);
         let mut here = Here { engine: self.clone(), request, class, tenant, answer: Final::Left };
         self.tell(Event::Request(Arrival { request, key, class, tenant, deadline, spare, worth }));
-        let answer = tokio::select! {
-            biased;
-            answer = answer => answer.unwrap_or((Answer::Failed, None)),
-            // The module answers in time; this guards against a late loop and against its silence.
-            () = sleep_until(end - BACKSTOP.min(limit)) => (Answer::TimedOut, None),
-        };
+        // The module answers in time; the end guards against a late loop and against its silence.
+        let answer = wait.answer(end - BACKSTOP.min(limit)).await.unwrap_or((Answer::TimedOut, None));
         here.answer = answer.0.kind();
         let aim = millis(self.facts.settings.classes.get(usize::from(class)).map_or(0.0, |c| c.aim));
         if here.answer == Final::Served && received.elapsed() > aim {
@@ -419,10 +416,9 @@
             Action::Fail { request } => s.answer(request, Answer::Failed),
             Action::Cancel { request, attempt } => {
                 let open = s.requests.get_mut(&request);
-                let out = open.and_then(|r| r.attempts.get_mut(usize::from(attempt))?.1.as_mut());
-                if let Some(cancel) = out.and_then(|o| o.cancel.take()) {
-                    // One that has just ended needs no cancel.
-                    let _ = cancel.send(());
+                let out = open.and_then(|r| r.attempts.get(usize::from(attempt))?.1.as_ref());
+                if let Some(out) = out {
+                    out.line.withdraw();
                 }
             }
             // Timers are what keeps an engine: with nothing left to do they end, and it with them.
@@ -452,7 +448,11 @@
         let target = s.backends.get(&backend).and_then(|k| k.target.as_ref());
         let within = number < self.facts.settings.caps.try_limit as usize;
         let may = || number == 0 || open.budget.as_ref().is_none_or(OnBooks::again);
-        let Some(target) = target.filter(|_| within && matches!(open.life, Life::Owed(_)) && may()) else {
+        let wait = match &open.life {
+            Life::Owed(wait) => Some(wait.clone()),
+            Life::Over => None,
+        };
+        let Some((target, wait)) = target.zip(wait).filter(|_| within && may()) else {
             open.attempts.push((backend, None));
             self.counts.ended(Outcome::Moot, None);
             s.events.push_back(resolved(request, number, backend, Outcome::Moot, 0.0, open));
@@ -465,13 +465,13 @@
         if target.born_ms > 0.0 && age < self.facts.settings.rules.cold {
             self.counts.sent_cold();
         }
-        let (cancel, cancelled) = oneshot::channel();
+        let line = Rc::<Line>::default();
         let worth = s.balancer.worth(request);
         let lent = open.budget.as_ref().filter(|_| open.call.carries()).and_then(|b| b.lend(worth));
         let purse = lent.as_ref().map(|(_, purse)| purse.clone());
-        open.attempts.push((backend, Some(Out { sent, cancel: Some(cancel), lent })));
+        open.attempts.push((backend, Some(Out { sent, line: line.clone(), lent })));
         let (call, target, not_past) = (open.call.clone(), target.clone(), self.clock.instant(not_past));
-        let attempt = Attempt { call, target, not_past, cancelled, purse };
+        let attempt = Attempt { call, target, not_past, line: line.clone(), purse };
         let (engine, pool) = (self.clone(), self.pool.clone());
         let later = self.clone();
         let late = move |end: End| {
@@ -489,7 +489,8 @@
                 spare: None,
             }));
         };
-        spawn_local(attempt.run(pool, move |end| engine.ended(request, number, end), late));
+        let run = Box::pin(attempt.run(pool, move |end| engine.ended(request, number, end), late));
+        wait.carry(Running { run, not_past, line });
     }
 
     /// An attempt ended. The first served answer goes to the caller by itself.
--- a/crates/heathroad/src/front.rs
+++ b/crates/heathroad/src/front.rs
@@ -1,10 +1,10 @@
 //! The callers' side: takes requests, checks them, and writes each one's answer.
 
-use crate::backend::http;
+use crate::backend::http::{self, DEADLINE, ID, KEY};
 use crate::backend::{Call, MAX_BODY};
 use crate::budget::{self, Books, SPENT};
 use crate::counts::Final;
-use crate::effort::{sleep, timeout_at};
+use crate::effort::{sleep, spawn_in, timeout_at};
 use crate::engine::{Answer, Incoming, millis};
 use crate::router::{Ask, Bound, Router};
 use crate::stream::{Progress, Watched};
@@ -13,7 +13,9 @@
 use heathroad_routing::split::hash;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming as Inflow};
-use hyper::header::{ALLOW, CONNECTION, HOST, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
+use hyper::header::{
+    ALLOW, CONNECTION, HOST, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING,
+};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
@@ -49,12 +51,16 @@
 const MAX_UNREAD: usize = 16 * MAX_BODY;
 /// Longest time that a caller may say it waits.
 const MAX_PATIENCE_MS: u64 = 600_000;
-/// Longest head, and most lines in it. The buffer for both heads and bodies grows to this size.
+/// Longest head, and most lines in it. The buffer for both heads and bodies grows to this size. (The library has a bound of
+/// its own on lines, of 100; told another, it makes room for them anew and slowly for each head.)
 const MAX_HEAD: usize = 16 * 1024;
 const MAX_HEADERS: usize = 64;
 /// Who is refused for want of room is told to stay away so long, where that is told.
 const AWAY: f64 = 500.0;
 
+/// Names the tenant.
+static OWNER: HeaderName = HeaderName::from_static("req-owner");
+
 type Reply = Response<Full<Bytes>>;
 
 /// What has become of a caller's present request.
@@ -273,7 +279,7 @@
                 accepted = listener.accept(), if !full => match accepted {
                     Ok((stream, _)) => {
                         let crowded = present() >= self.connections && !self.room.shed();
-                        open.spawn_local(self.clone().connection(stream, closing.clone(), crowded));
+                        spawn_in(&mut open, self.clone().connection(stream, closing.clone(), crowded));
                         // Its place counts from now on.
                         tokio::task::yield_now().await;
                     }
@@ -318,7 +324,6 @@
         let connection = http1::Builder::new()
             .header_read_timeout(None)
             .max_buf_size(MAX_HEAD)
-            .max_headers(MAX_HEADERS)
             .serve_connection(watched, service);
         let mut connection = pin!(connection);
         tokio::select! {
@@ -394,6 +399,9 @@
     ) -> Result<(Incoming, Held, Bound), Box<Reply>> {
         let (head, body) = request.into_parts();
         let wrong = |status| Box::new(closing(status));
+        if head.headers.len() > MAX_HEADERS {
+            return Err(wrong(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE));
+        }
         // The library takes a length beside a transfer coding away before it can be seen here, and what hides in
         // such a body must not go on. Nobody needs the coding: bodies are short and their length is known.
         if head.headers.contains_key(TRANSFER_ENCODING) {
@@ -404,9 +412,10 @@
             return Err(Box::new(plain(StatusCode::NOT_FOUND)));
         }
         let bad = || wrong(StatusCode::BAD_REQUEST);
-        let id = one(&head.headers, "req-id").ok_or_else(bad)?.clone();
+        let [id, owner, patience, key] = sole(&head.headers, [&ID, &OWNER, &DEADLINE, &KEY]);
+        let id = id.ok_or_else(bad)?.clone();
         let tenants = &self.facts.site.tenants;
-        let owner = one(&head.headers, "req-owner").and_then(|o| o.to_str().ok());
+        let owner = owner.and_then(|o| o.to_str().ok());
         let tenant = match owner {
             _ if tenants.is_empty() => 0,
             owner => tenants.iter().position(|t| Some(t.as_str()) == owner).ok_or_else(bad)?,
@@ -424,12 +433,11 @@
             key: about.as_deref().map_or(id.as_bytes(), str::as_bytes),
         };
         let bound = self.router.bind(&ask).map_err(|status| Box::new(plain(status)))?;
-        let patience =
-            one(&head.headers, "req-deadline-ms").and_then(|d| d.to_str().ok()).filter(|d| digits(d));
+        let patience = patience.and_then(|d| d.to_str().ok()).filter(|d| digits(d));
         let patience = patience.and_then(|d| d.parse::<u64>().ok());
         let patience = Duration::from_millis(patience.ok_or_else(bad)?.min(MAX_PATIENCE_MS));
         let patience = bound.deadline.map_or(patience, |most| patience.min(most));
-        let key = one(&head.headers, "idempotency-key").cloned();
+        let key = key.cloned();
         let (method, keyed) = match bound.effect {
             Effect::Retryable => (Method::GET, None),
             Effect::Dedup { .. } => (Method::POST, Some(true)),
@@ -523,10 +531,16 @@
     text.bytes().all(|b| b.is_ascii_digit())
 }
 
-/// A header that must come once, and not empty.
-fn one<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a HeaderValue> {
-    let mut values = headers.get_all(name).iter();
-    values.next().filter(|v| !v.is_empty() && values.next().is_none())
+/// Headers that must come once, and not empty; nothing for one that does not. One walk over the few lines that there are costs
+/// less than a look-up for each name.
+fn sole<'a, const N: usize>(headers: &'a HeaderMap, names: [&HeaderName; N]) -> [Option<&'a HeaderValue>; N] {
+    let (mut found, mut twice) = ([None; N], [false; N]);
+    for (name, value) in headers {
+        if let Some(at) = names.iter().position(|n| *n == name) {
+            twice[at] |= found[at].replace(value).is_some();
+        }
+    }
+    std::array::from_fn(|at| found[at].filter(|v: &&HeaderValue| !v.is_empty() && !twice[at]))
 }
 
 fn plain(status: StatusCode) -> Reply {
--- a/crates/heathroad/src/lib.rs
+++ b/crates/heathroad/src/lib.rs
@@ -37,6 +37,7 @@
 mod routes;
 mod rpc;
 mod stream;
+mod wait;
 
 use crate::effort::{sleep, spawn_local, timeout};
 use backend::Pool;
--- a/crates/heathroad/src/rpc.rs
+++ b/crates/heathroad/src/rpc.rs
@@ -6,7 +6,7 @@
 use crate::backend::{Call as Outward, rpc};
 use crate::budget::{self, Books};
 use crate::counts::Final;
-use crate::effort::{self, sleep, sleep_until, timeout};
+use crate::effort::{self, sleep, sleep_until, spawn_in, timeout};
 use crate::engine::{Answer, Incoming, millis};
 use crate::front::{Guest, Room, SPARE as SPARE_PLACES, Stock, Taken, away};
 use crate::pace::Pace;
@@ -103,7 +103,7 @@
                 if !running.contains_key(&listener.name) {
                     let (stop, stopped) = watch::channel(false);
                     let door = Rc::new(Door::new(self.clone(), listener.clone()));
-                    open.spawn_local(door.accept(socket, stopped));
+                    spawn_in(&mut open, door.accept(socket, stopped));
                     running.insert(listener.name.clone(), (listener, stop));
                 }
             }
@@ -166,9 +166,9 @@
                         let full = self.seats.borrow().len() >= self.is.connections as usize
                             || self.front.room.present() >= self.front.connections;
                         if full && !self.shed() {
-                            open.spawn_local(self.clone().turn_away(stream));
+                            spawn_in(&mut open, self.clone().turn_away(stream));
                         } else {
-                            open.spawn_local(self.clone().seat(number, stream, peer.ip(), stopped.clone()));
+                            spawn_in(&mut open, self.clone().seat(number, stream, peer.ip(), stopped.clone()));
                         }
                         // Its place counts from now on.
                         yield_now().await;
@@ -430,7 +430,7 @@
                     if self.stopping.get() {
                         work.done(self.turn_away(group, member), front.bodies);
                     } else {
-                        calls.spawn_local(self.clone().carry(group, member));
+                        spawn_in(&mut calls, self.clone().carry(group, member));
                     }
                     continue;
                 }
--- a/crates/heathroad/tests/proxy.rs
+++ b/crates/heathroad/tests/proxy.rs
@@ -442,6 +442,21 @@
     assert!(start.elapsed() < Duration::from_secs(2), "nobody waited for a time limit");
 }
 
+/// A head has 64 lines at the most; those of answers are held to that among the spoilt ones.
+#[tokio::test]
+async fn a_head_of_too_many_lines_is_turned_down() {
+    let s = scene(settings()).await;
+    for (more, status) in [(64 - 4, 200), (64 - 3, 431)] {
+        let mut call = request("look");
+        for n in 0..more {
+            call = call.header(format!("x-{n}"), "p");
+        }
+        let call = call.body(Full::<bytes::Bytes>::default()).expect("well formed");
+        assert_eq!(call.headers().len(), more + 4, "its own four, host among them");
+        assert_eq!(s.proxy.caller().await.send(call).await.0, status, "{more} more");
+    }
+}
+
 #[tokio::test]
 async fn malformed_requests_are_turned_down_and_reach_no_backend() {
     let s = scene(settings()).await;
@@ -650,6 +665,7 @@
         head("Content-Length: 2\r\n", "good"),
         head("Transfer-Encoding: chunked\r\n", "4\r\ngood\r\nzz\r\n"),
         head(&"X-Pad: pppppppppppppppppppppppp\r\n".repeat(3000), ""),
+        head(&("X-Pad: p\r\n".repeat(64) + "Content-Length: 4\r\n"), "good"),
         "HTTP/1.1 2x0 OK\r\nContent-Length: 4\r\n\r\ngood".to_string(),
         "noise".to_string() + "\r\n\r\n",
     ];
--- a/crates/turnshift/src/balancer.rs
+++ b/crates/turnshift/src/balancer.rs
@@ -3,7 +3,8 @@
 
 use crate::api::*;
 use crate::state::{Attempt, Backend, Latency, Limiter, Line, Request, Slice};
-use std::collections::{BTreeMap, HashMap};
+use rustc_hash::FxHashMap;
+use std::collections::BTreeMap;
 
 const HOUSEKEEPING: u64 = 0; // timer tokens
 const ASK: u64 = 1;
@@ -118,7 +119,7 @@
     excess: [f64; 2], // latency over the baseline, in aims: in the zone, beyond it
     width: f64,
     weight: f64,
-    requests: HashMap<RequestId, Request>, // looked up, never iterated: its order decides nothing
+    requests: FxHashMap<RequestId, Request>, // looked up, never iterated: its order decides nothing
     lines: BTreeMap<u64, Line>,
     limiter: Limiter,
     slices: Vec<Slice>, // most worth first
