--- a/crates/heathroad/src/backend/http.rs
+++ b/crates/heathroad/src/backend/http.rs
@@ -160,6 +160,9 @@
 /// answer behind the first is none of the first's business. Tells whether the connection is fit for the next
 /// request; nothing where the answer is spoilt.
 async fn settle(link: &mut Link, end: End) -> Option<(End, bool)> {
+    if link.sender.is_ready() {
+        return Some((end, true));
+    }
     match timeout(SETTLE, link.sender.ready()).await {
         Ok(Ok(())) => Some((end, true)),
         Ok(Err(_)) => {
@@ -207,6 +210,9 @@
         if first.is_empty() && bytes.is_empty() {
             // Most answers come in one piece.
             first = if data.len() < SMALL { Bytes::copy_from_slice(&data) } else { data };
+            if body.is_end_stream() {
+                break;
+            }
             continue;
         }
         bytes.extend_from_slice(&std::mem::take(&mut first));
--- a/crates/heathroad/src/engine.rs
+++ b/crates/heathroad/src/engine.rs
@@ -65,8 +65,8 @@
     pub class: u16,
     /// Place of its tenant.
     pub tenant: u16,
-    /// What it is about.
-    pub key: Option<String>,
+    /// What it is about, by [`key`]; 0 is nothing.
+    pub key: u64,
     /// When its head had come.
     pub received: Instant,
     /// How long its caller waits.
@@ -237,7 +237,6 @@
             self.counts.answered(incoming.class, incoming.tenant, Final::TimedOut);
             return (Answer::TimedOut, None);
         }
-        let key = incoming.key.map_or(0, |k| hash(&k).max(1));
         let wait = Rc::<Wait<Told>>::default();
         let request = {
             let s = &mut *self.state.borrow_mut();
@@ -254,7 +253,15 @@
         };
         let (class, tenant, received) = (incoming.class, incoming.tenant, incoming.received);
         let mut here = Here { engine: self.clone(), request, class, tenant, answer: Final::Left };
-        self.tell(Event::Request(Arrival { request, key, class, tenant, deadline, spare, worth }));
+        self.tell(Event::Request(Arrival {
+            request,
+            key: incoming.key,
+            class,
+            tenant,
+            deadline,
+            spare,
+            worth,
+        }));
         // The module answers in time; the end guards against a late loop and against its silence.
         let answer = wait.answer(end - BACKSTOP.min(limit)).await.unwrap_or((Answer::TimedOut, None));
         here.answer = answer.0.kind();
@@ -539,6 +546,11 @@
     Event::Resolved(Resolved { request, attempt, backend, outcome, wait, closed, spare })
 }
 
+/// The number that the module knows a text by that requests are about; never 0.
+pub fn key(text: &str) -> u64 {
+    hash(text).max(1)
+}
+
 fn hash(text: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
     text.hash(&mut hasher);
--- a/crates/heathroad/src/front.rs
+++ b/crates/heathroad/src/front.rs
@@ -5,7 +5,7 @@
 use crate::budget::{self, Books, SPENT};
 use crate::counts::Final;
 use crate::effort::{sleep, spawn_in, timeout_at};
-use crate::engine::{Answer, Incoming, millis};
+use crate::engine::{self, Answer, Incoming, millis};
 use crate::router::{Ask, Bound, Router};
 use crate::stream::{Progress, Watched};
 use bytes::{Bytes, BytesMut};
@@ -421,7 +421,7 @@
             owner => tenants.iter().position(|t| Some(t.as_str()) == owner).ok_or_else(bad)?,
         };
         let about = head.uri.query().and_then(|q| q.split('&').find_map(|p| p.strip_prefix("k=")));
-        let about = about.filter(|k| !k.is_empty()).map(str::to_string);
+        let about = about.filter(|k| !k.is_empty());
         let ask = Ask {
             listener: "main",
             method: "",
@@ -430,7 +430,7 @@
             class: name,
             tenant: owner.unwrap_or_default(),
             headers: &head.headers,
-            key: about.as_deref().map_or(id.as_bytes(), str::as_bytes),
+            key: about.map_or(id.as_bytes(), str::as_bytes),
         };
         let bound = self.router.bind(&ask).map_err(|status| Box::new(plain(status)))?;
         let patience = patience.and_then(|d| d.to_str().ok()).filter(|d| digits(d));
@@ -458,26 +458,32 @@
         // A caller that stops half-way through its body is not waited for.
         let begun = if seat.answered.get() { received } else { seat.since.get() };
         let limit = (begun + ARRIVE).min(received + patience);
-        let body = timeout_at(limit, collect(body, &mut held, self.bodies)).await;
-        let body = match body.unwrap_or(Err(StatusCode::REQUEST_TIMEOUT)) {
+        let body = if body.is_end_stream() {
+            Ok(Bytes::new())
+        } else {
+            let body = timeout_at(limit, collect(body, &mut held, self.bodies)).await;
+            body.unwrap_or(Err(StatusCode::REQUEST_TIMEOUT))
+        };
+        let body = match body {
             Ok(body) => body,
             Err(StatusCode::SERVICE_UNAVAILABLE) => {
                 return Err(Box::new(write(Answer::Refused { retry_after: away(&self.facts) })));
             }
             Err(status) => return Err(wrong(status)),
         };
+        let key_of = about.map_or(0, engine::key);
         let host = head.headers.get(HOST).cloned();
         let uri = head.uri.path_and_query().cloned().map(Uri::from).ok_or_else(bad)?;
         let (class, tenant) = (bound.class, tenant as u16);
         let enter = |books: &Rc<Books>| {
-            let mark = Mark { key: about.as_deref().map_or(0, |k| hash(k.as_bytes())), class, tenant };
+            let mark = Mark { key: about.map_or(0, |k| hash(k.as_bytes())), class, tenant };
             books
                 .enter(budget::told(&head.headers, inner), mark, patience)
                 .map_err(|why| Box::new(looped(why)))
         };
         let budget = self.books.as_ref().map(enter).transpose()?;
         let call = Call::Http(http::Call { method, uri, host, id, key, body });
-        Ok((Incoming { call, class, tenant, key: about, received, patience, budget }, held, bound))
+        Ok((Incoming { call, class, tenant, key: key_of, received, patience, budget }, held, bound))
     }
 }
 
--- a/crates/heathroad/src/rpc.rs
+++ b/crates/heathroad/src/rpc.rs
@@ -7,7 +7,7 @@
 use crate::budget::{self, Books};
 use crate::counts::Final;
 use crate::effort::{self, sleep, sleep_until, spawn_in, timeout};
-use crate::engine::{Answer, Incoming, millis};
+use crate::engine::{self, Answer, Incoming, millis};
 use crate::front::{Guest, Room, SPARE as SPARE_PLACES, Stock, Taken, away};
 use crate::pace::Pace;
 use crate::router::{Ask, Bound, Many};
@@ -667,6 +667,7 @@
         };
         let budget = front.books.as_ref().map(enter).transpose()?;
         let call = rpc::Call { method: call.method_text, params: call.params, notification, way };
+        let key = key.as_deref().map_or(0, engine::key);
         Ok((Incoming { call: Outward::Rpc(call), class, tenant, key, received, patience, budget }, bound))
     }
 }
