--- a/crates/heathroad-cost/src/case.rs
+++ b/crates/heathroad-cost/src/case.rs
@@ -71,8 +71,8 @@
         self.way != Way::Rpc && !self.declines
     }
 
-    /// A request, with a number of its own.
-    pub fn request(&self, number: u64, out: &mut Vec<u8>) {
+    /// A request, with a number of its own, that is waited for so long: milliseconds.
+    pub fn request(&self, number: u64, wait_ms: u64, out: &mut Vec<u8>) {
         use std::io::Write;
         out.clear();
         // Writing to memory does not fail.
@@ -85,7 +85,7 @@
                 let _ = write!(
                     out,
                     "{method} /{}?k=7f3a HTTP/1.1\r\nHost: origin.svc\r\nReq-Id: {number:016x}\r\nReq-Owner: acme\r\n\
-                     Req-Deadline-Ms: 60000\r\n",
+                     Req-Deadline-Ms: {wait_ms}\r\n",
                     self.class
                 );
                 if self.class == "keep" {
--- a/crates/heathroad-cost/src/load.rs
+++ b/crates/heathroad-cost/src/load.rs
@@ -86,7 +86,7 @@
         if number >= until {
             return Ok((kept, seen));
         }
-        case.request(number, &mut request);
+        case.request(number, LONG.as_millis() as u64, &mut request);
         let begun = Instant::now();
         let mut stream = match kept.take() {
             Some(stream) => stream,
@@ -103,10 +103,8 @@
             seen.served += 1;
             continue;
         }
-        let good = timeout(LONG, read(&mut stream, case.way, &mut answer))
-            .await
-            .map_err(|_| "no answer in time")??;
-        if good {
+        let read = timeout(LONG, read(&mut stream, case.way, &mut answer)).await;
+        if read.map_err(|_| "no answer in time")?? == 200 {
             seen.served += 1;
             seen.latencies.push(begun.elapsed().as_micros() as u32);
         } else {
@@ -118,8 +116,8 @@
     }
 }
 
-/// Reads one answer; whether it is a good one.
-async fn read(stream: &mut TcpStream, way: Way, answer: &mut Vec<u8>) -> Result<bool, String> {
+/// Reads one answer and tells its status; over JSON-RPC 200 for a result, else 500.
+pub async fn read(stream: &mut TcpStream, way: Way, answer: &mut Vec<u8>) -> Result<u16, String> {
     answer.clear();
     loop {
         let n = stream.read_buf(answer).await.map_err(|e| format!("read: {e}"))?;
@@ -128,14 +126,15 @@
         }
         if way == Way::Rpc {
             if answer.ends_with(b"\n") {
-                return Ok(answer.windows(9).any(|w| w == b"\"result\":"));
+                return Ok(if answer.windows(9).any(|w| w == b"\"result\":") { 200 } else { 500 });
             }
             continue;
         }
         let Some(end) = head_end(answer) else { continue };
         let length = header(&answer[..end], "content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
         if answer.len() >= end + length {
-            return Ok(answer.get(9..12) == Some(b"200"));
+            let status = answer.get(9..12).and_then(|s| std::str::from_utf8(s).ok()?.parse().ok());
+            return status.ok_or_else(|| "an answer without a status".to_string());
         }
     }
 }
--- a/crates/heathroad-cost/src/main.rs
+++ b/crates/heathroad-cost/src/main.rs
@@ -3,7 +3,7 @@
 //!
 //! - `case` says what is sent and how backends answer, `node` is a backend, `load` the callers.
 //! - `bare` is the yardstick. It and the daemon run as processes of this program, see `subject`, with an allocator that counts.
-//! - `measure` runs them by turns and says what came out. Times mean something beside each other only; counts do by
+//! - `overload` offers more than a core can do. `measure` runs subjects by turns and says what came out. Times mean something beside each other only; counts do by
 //!   themselves, and `tests/guard.rs` holds them to `ceilings.toml`.
 
 mod bare;
@@ -11,6 +11,7 @@
 mod load;
 mod measure;
 mod node;
+mod overload;
 mod subject;
 
 use clap::Parser;
@@ -37,6 +38,9 @@
     /// Counts only, on one connection, one JSON object a line.
     #[arg(long)]
     counts: bool,
+    /// Requests that come at a rate, from half of what a core can do to five times that, whatever becomes of them.
+    #[arg(long)]
+    overload: bool,
     /// The daemon alone.
     #[arg(long)]
     alone: bool,
@@ -75,6 +79,12 @@
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(3).enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
     runtime.block_on(async {
+        if cli.overload {
+            for case in &cases {
+                overload::table(case).await?;
+            }
+            return Ok(());
+        }
         if cli.counts {
             return measure::counts(&cases, cli.requests).await;
         }
--- a/crates/heathroad-cost/src/measure.rs
+++ b/crates/heathroad-cost/src/measure.rs
@@ -3,7 +3,7 @@
 use crate::case::Case;
 use crate::load::{Callers, Seen};
 use crate::node;
-use crate::subject::{Subject, Used};
+use crate::subject::{LONG, Subject, Used};
 use serde_json::{Map, Value, json};
 
 /// Requests of each connection before anything is measured, and the least of all together: the limit has grown by then.
@@ -51,7 +51,7 @@
 pub async fn counts(cases: &[&'static Case], requests: u64) -> Result<(), String> {
     for case in cases {
         let nodes = node::start(case).await.map_err(|e| e.to_string())?;
-        let mut daemon = Subject::daemon(case, &nodes).await?;
+        let mut daemon = Subject::daemon(case, &nodes, LONG).await?;
         let mut callers = Callers::new(case, daemon.at, 1);
         callers.run(requests / 4 + 100).await?;
         let run = run(&mut daemon, &mut callers, requests).await?;
@@ -95,7 +95,7 @@
     alone: bool,
 ) -> Result<(), String> {
     let nodes = node::start(case).await.map_err(|e| e.to_string())?;
-    let mut subjects = vec![Subject::daemon(case, &nodes).await?];
+    let mut subjects = vec![Subject::daemon(case, &nodes, LONG).await?];
     if case.bare() && !alone {
         subjects.push(Subject::bare(&nodes).await?);
     }
--- a/crates/heathroad-cost/src/subject.rs
+++ b/crates/heathroad-cost/src/subject.rs
@@ -96,9 +96,12 @@
     }
 }
 
-fn settings() -> Value {
+/// Wanted within the one, given up after the other, in milliseconds: nothing is turned away for its time.
+pub const LONG: [f64; 2] = [20_000.0, 60_000.0];
+
+fn settings([aim, give_up]: [f64; 2]) -> Value {
     let class = |name: &str, semantics: &str| {
-        json!({"name": name, "aim": 20_000.0, "giveUp": 60_000.0, "points": 1.0, "lateWorth": 0.0,
+        json!({"name": name, "aim": aim, "giveUp": give_up, "points": 1.0, "lateWorth": 0.0,
                "semantics": semantics, "group": "all", "window": 60_000.0})
     };
     json!({
@@ -165,14 +168,14 @@
 }
 
 impl Subject {
-    /// Starts the daemon for a case.
-    pub async fn daemon(case: &Case, nodes: &Nodes) -> Result<Subject, String> {
+    /// Starts the daemon for a case whose requests are wanted and given up by these times.
+    pub async fn daemon(case: &Case, nodes: &Nodes, times: [f64; 2]) -> Result<Subject, String> {
         let name = format!("heathroad-cost-{}-{}", std::process::id(), nodes.registry.port());
         let [file, routes] = ["json", "toml"].map(|e| std::env::temp_dir().join(format!("{name}.{e}")));
         let write =
             |f: &PathBuf, text: &str| std::fs::write(f, text).map_err(|e| format!("{}: {e}", f.display()));
         let mut config = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": nodes.registry.to_string(),
-            "admin": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "settings": settings(),
+            "admin": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "settings": settings(times),
             "limits": {"cores": 1.0, "memory_mb": 1024, "sockets": 16_384}});
         if let Some(text) = case.routes(&nodes.at) {
             write(&routes, &text)?;
