--- a/crates/heathroad/src/engine.rs
+++ b/crates/heathroad/src/engine.rs
@@ -615,12 +615,13 @@
 }
 
 #[cfg(test)]
-mod tests {
+pub mod tests {
     use super::*;
     use crate::backend::{Limits, http};
     use tokio::task::LocalSet;
 
-    fn facts() -> Facts {
+    /// Settings of one safe class.
+    pub fn facts() -> Facts {
         let text = r#"{"slotNo": 0, "peersTotal": 1, "tier": 0, "locality": 0, "localities": ["a"], "tick": 5.0,
             "overShareWorth": 0.05, "discovery": "automatic", "tenants": [],
             "classes": [{"name": "look", "aim": 1000.0, "points": 1.0, "semantics": "retryable", "group": "all",
--- a/crates/heathroad/src/stream.rs
+++ b/crates/heathroad/src/stream.rs
@@ -135,6 +135,11 @@
         Watched { stream, progress: Rc::default(), stalled: None }
     }
 
+    /// The stream itself.
+    pub fn stream(&self) -> &S {
+        &self.stream
+    }
+
     /// What is seen.
     pub fn progress(&self) -> Rc<Progress> {
         self.progress.clone()
