--- a/crates/heathroad/src/backend/mod.rs
+++ b/crates/heathroad/src/backend/mod.rs
@@ -17,7 +17,7 @@
 use std::pin::pin;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
-use std::task::{Poll, Waker};
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
@@ -335,14 +335,19 @@
             if self.withdrawn.get() {
                 return Poll::Ready(());
             }
-            let waker = self.waker.take().filter(|w| w.will_wake(cx.waker()));
-            self.waker.set(Some(waker.unwrap_or_else(|| cx.waker().clone())));
+            keep(&self.waker, cx);
             Poll::Pending
         })
         .await;
     }
 }
 
+/// Keeps a task's waker, anew only where it is another's.
+pub fn keep(slot: &Cell<Option<Waker>>, cx: &Context<'_>) {
+    let waker = slot.take().filter(|w| w.will_wake(cx.waker()));
+    slot.set(Some(waker.unwrap_or_else(|| cx.waker().clone())));
+}
+
 /// One attempt: when it must end, and who may call it off.
 pub struct Attempt {
     /// The request.
--- a/crates/heathroad/src/wait.rs
+++ b/crates/heathroad/src/wait.rs
@@ -2,7 +2,7 @@
 //! then at once the one who passes it on, and no task is made for an attempt. Attempts that outlast the wait, since the caller
 //! has left or work that was given up goes on, get a task of their own.
 
-use crate::backend::Line;
+use crate::backend::{Line, keep};
 use crate::effort::{sleep_until, spawn_local};
 use std::cell::{Cell, RefCell};
 use std::future::{Future, poll_fn};
@@ -73,7 +73,7 @@
                 return Poll::Ready(told);
             }
             if carried.running.iter().any(|r| r.not_past <= end && !r.line.reported()) {
-                self.wait_for(cx);
+                keep(&self.waker, cx);
                 return Poll::Pending;
             }
             if over.is_none() {
@@ -82,16 +82,11 @@
             if over.as_mut().as_pin_mut().is_some_and(|over| over.poll(cx).is_ready()) {
                 return Poll::Ready(None);
             }
-            self.wait_for(cx);
+            keep(&self.waker, cx);
             Poll::Pending
         })
         .await
     }
-
-    fn wait_for(&self, cx: &Context<'_>) {
-        let waker = self.waker.take().filter(|w| w.will_wake(cx.waker()));
-        self.waker.set(Some(waker.unwrap_or_else(|| cx.waker().clone())));
-    }
 }
 
 /// The attempts that one who waits carries.
@@ -192,6 +187,15 @@
         .await;
     }
 
+    async fn is_over(over: &Cell<bool>) {
+        let over = async {
+            while !over.get() {
+                tokio::task::yield_now().await;
+            }
+        };
+        timeout(LONG / 4, over).await.expect("it comes to its end");
+    }
+
     /// What others bring wakes who waits: an attempt begun for it, and its answer.
     #[tokio::test(start_paused = true)]
     async fn what_others_bring_is_seen() {
@@ -205,13 +209,7 @@
             let_go.send(()).expect("it is held");
             tokio::task::yield_now().await;
             advance(LONG / 4).await;
-            timeout(LONG / 4, async {
-                while !over.get() {
-                    tokio::task::yield_now().await;
-                }
-            })
-            .await
-            .expect("it was carried to its end");
+            is_over(&over).await;
             wait.tell(7);
             assert_eq!(waiting.await.expect("no panic"), Some(7));
         })
@@ -231,13 +229,7 @@
             waiting.abort();
             assert!(waiting.await.expect_err("it is gone").is_cancelled());
             let_go.send(()).expect("it goes on");
-            timeout(LONG, async {
-                while !over.get() {
-                    tokio::task::yield_now().await;
-                }
-            })
-            .await
-            .expect("it comes to its end");
+            is_over(&over).await;
         })
         .await;
     }
