The daemon's files grouped by concern; routing's two circles of imports undone

Now there are front, router, engine, backend, discovery, configuration and operation; router.rs is five files (bind, pools that run, registries, changes, start), front.rs two. router/routes: the files' reading and the look for rounds stay with the configuration, the start is the router's. file/table: what a route asks of a request is routing's new module condition, which imports neither. Moves alone, no code changed; the daemon's, routing's and expectations' tests pass as before.

--- a/crates/heathroad-expect/src/file.rs
+++ b/crates/heathroad-expect/src/file.rs
@@ -2,10 +2,10 @@
 //! either can be changed by itself; names that the routes don't have are found when the two are held together.
 
 use crate::nodes::{Kind, Loss, Node, State};
+use heathroad_routing::condition::Match;
 use heathroad_routing::fault::Faults;
 use heathroad_routing::file::Group;
 use heathroad_routing::reader::{self, Lines, Section};
-use heathroad_routing::table::Match;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use toml::de::DeValue;
--- a/crates/heathroad-expect/src/reach.rs
+++ b/crates/heathroad-expect/src/reach.rs
@@ -3,8 +3,8 @@
 //! match are as many as the region has, it is left with none.
 
 use crate::space::{Region, Space};
+use heathroad_routing::condition::Match;
 use heathroad_routing::generation::Generation;
-use heathroad_routing::table::Match;
 use std::fmt;
 
 /// The routes of a configuration over a space.
--- a/crates/heathroad-expect/src/space.rs
+++ b/crates/heathroad-expect/src/space.rs
@@ -2,8 +2,8 @@
 //! expectation. A kind is a point with a value in each dimension, and values are ordered so that what a condition asks
 //! for is an interval: names under one wildcard, or paths under one prefix, stand side by side.
 
+use heathroad_routing::condition::{Match, Request};
 use heathroad_routing::file::{Config, TenantFrom};
-use heathroad_routing::table::{Match, Request};
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Range;
 
--- a/crates/heathroad-expect/tests/reach.rs
+++ b/crates/heathroad-expect/tests/reach.rs
@@ -2,8 +2,8 @@
 
 use heathroad_expect::reach::Routes;
 use heathroad_expect::space::Space;
+use heathroad_routing::condition::{Match, Request};
 use heathroad_routing::generation::Generation;
-use heathroad_routing::table::{Match, Request};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
--- a/crates/heathroad-routing/src/diff.rs
+++ b/crates/heathroad-routing/src/diff.rs
@@ -1,9 +1,9 @@
 //! What a change does, in words: which requests move where, and what becomes of pools.
 
+use crate::condition::{Match, Request};
 use crate::file::{Class, Config, Effect, Listener, Pool, Source, TenantFrom};
 use crate::generation::Generation;
 use crate::split::Share;
-use crate::table::{Match, Request};
 use std::collections::BTreeSet;
 
 /// Lines that say what going from one generation to another does; none where nothing changes.
--- a/crates/heathroad-routing/src/file.rs
+++ b/crates/heathroad-routing/src/file.rs
@@ -5,10 +5,10 @@
 
 pub use rpc::{Listener, Method, Rpc, TenantFrom};
 
+use crate::condition::Match;
 use crate::fault::Faults;
 use crate::reader::{self, Lines, Section, kind};
 use crate::split::Share;
-use crate::table::Match;
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
--- a/crates/heathroad-routing/src/generation.rs
+++ b/crates/heathroad-routing/src/generation.rs
@@ -1,9 +1,10 @@
 //! A configuration as it is in force: an immutable snapshot with number and digest. A request binds to one when it is
 //! taken and keeps it to its final answer.
 
+use crate::condition::Request;
 use crate::fault::{Fault, Faults};
 use crate::file::{self, Config, Pool, TenantFrom};
-use crate::table::{Request, Table};
+use crate::table::Table;
 use sha2::{Digest, Sha256};
 use std::fmt::Write;
 use std::rc::Rc;
--- a/crates/heathroad-routing/src/transaction.rs
+++ b/crates/heathroad-routing/src/transaction.rs
@@ -4,12 +4,12 @@
 //! One change at a time. Undoing is a change of its own, with a number of its own; what drained, went or was revoked
 //! meanwhile belongs to the nodes and not to generations, and no undoing brings it back.
 
+use crate::condition::Match;
 use crate::file::Route;
 use crate::generation::Generation;
 use crate::harm::{Sample, Watch};
 use crate::journal::Record;
 use crate::split::Share;
-use crate::table::Match;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::rc::{Rc, Weak};
 
--- a/crates/heathroad-routing/tests/table.rs
+++ b/crates/heathroad-routing/tests/table.rs
@@ -1,9 +1,10 @@
 //! Routes: the most specific match, against a plain search over every route; and clashes, against a search over every
 //! request of a small world.
 
+use heathroad_routing::condition::{Match, Request};
 use heathroad_routing::file::{Config, Route, read};
 use heathroad_routing::split::Share;
-use heathroad_routing::table::{Match, Request, Table, clashes};
+use heathroad_routing::table::{Table, clashes};
 
 const HOSTS: [&str; 5] = ["a.org", "x.a.org", "y.x.a.org", "b.org", "org"];
 const PATHS: [&str; 6] = ["/", "/p", "/p/q", "/p/q/r", "/s", "/s/q"];
--- a/crates/heathroad/src/config.rs
+++ b/crates/heathroad/src/configuration/mod.rs
@@ -1,7 +1,11 @@
 //! What the proxy is told at its start: the environment and the configuration file, checked.
 
+pub mod disk;
+pub mod gate;
+pub mod routes;
+
 use crate::budget;
-use crate::roster::Page;
+use crate::discovery::roster::Page;
 use serde::Deserialize;
 use std::env;
 use std::net::SocketAddr;
--- a/crates/heathroad/src/discovery.rs
+++ b/crates/heathroad/src/discovery/mod.rs
@@ -1,12 +1,14 @@
 //! Discovery: the list of backends, and the watch on its changes.
 
+pub mod roster;
+
 use crate::effort::{sleep, spawn_local, timeout};
-use crate::roster::{Host, Page};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
+use roster::{Host, Page};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -124,7 +126,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::roster::Health;
+    use crate::discovery::roster::Health;
     use std::cell::RefCell;
     use std::rc::Rc;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/crates/heathroad/src/engine.rs
+++ b/crates/heathroad/src/engine/mod.rs
@@ -1,12 +1,13 @@
 //! The only owner of the decision module: turns what happens on the sockets into its events, in order, and
 //! carries out its actions. Keeps the ids, the clock, the timers and each request's life.
 
+mod wait;
+
 use crate::backend::{Attempt, Call, End, Line, Pool, Target};
 use crate::budget::{OnBooks, Purse};
 use crate::counts::{Counts, Final, Moment, Notice, Special};
+use crate::discovery::roster::{Health, Host};
 use crate::effort::{sleep, sleep_until, spawn_local};
-use crate::roster::{Health, Host};
-use crate::wait::{Running, Wait};
 use bytes::Bytes;
 use heathroad_budget::account::Loan;
 use heathroad_budget::wire::Spent;
@@ -23,6 +24,7 @@
     Action, Arrival, BackendId, Entry, Event, ListKind, Outcome, Phase, RequestId, Resolved, SettingsError,
 };
 use turnshift::settings::Facts;
+use wait::{Running, Wait};
 
 /// The module's deadline lies so much before the caller's: a deadline counts from the caller's send, and the
 /// answer has yet to reach it.
--- a/crates/heathroad/src/front.rs
+++ b/crates/heathroad/src/front/http.rs
@@ -1,13 +1,14 @@
-//! The callers' side: takes requests, checks them, and writes each one's answer.
+//! Requests over HTTP: takes them, checks them, and writes each one's answer.
 
+use super::room::{ARRIVE, Held, Room, SPARE, Seat, Seated, Stage, Taken, away};
 use crate::backend::http::{self, DEADLINE, ID, KEY};
 use crate::backend::{Call, MAX_BODY};
 use crate::budget::{self, Books, SPENT};
 use crate::counts::Final;
 use crate::effort::{sleep, spawn_in, timeout_at};
-use crate::engine::{self, Answer, Incoming, millis};
+use crate::engine::{self, Answer, Incoming};
 use crate::router::{Ask, Bound, Router};
-use crate::stream::{Progress, Watched};
+use crate::stream::Watched;
 use bytes::{Bytes, BytesMut};
 use heathroad_budget::path::Mark;
 use heathroad_routing::split::hash;
@@ -20,30 +21,21 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
-use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashSet};
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, interval};
 use turnshift::api::Effect;
 use turnshift::settings::Facts;
 
-/// A head must have come whole so long after its first byte, and a body after its head. A connection's first
-/// request must have come so long after the connect: whoever sends nothing, or sends for ever, is not waited for.
-const ARRIVE: Duration = Duration::from_secs(2);
-/// A connection may rest so long between requests, while places last.
-const REST: Duration = Duration::from_secs(60);
 /// How often callers are looked through for those that are late.
 const SWEEP: Duration = Duration::from_millis(250);
 /// Pause when nothing can be accepted.
 const STARVED: Duration = Duration::from_millis(10);
-/// Connections past the limit, taken only to be refused at once.
-pub const SPARE: usize = 16;
 /// Share of the places that callers may fill with requests who have not been served on their connection yet: a
 /// burst of requests that are worth nothing must leave room for the others.
 const NEWCOMERS: f64 = 0.75;
@@ -55,193 +47,12 @@
 /// its own on lines, of 100; told another, it makes room for them anew and slowly for each head.)
 const MAX_HEAD: usize = 16 * 1024;
 const MAX_HEADERS: usize = 64;
-/// Who is refused for want of room is told to stay away so long, where that is told.
-const AWAY: f64 = 500.0;
 
 /// Names the tenant.
 static OWNER: HeaderName = HeaderName::from_static("req-owner");
 
 type Reply = Response<Full<Bytes>>;
 
-/// What has become of a caller's present request.
-#[derive(Clone, Copy, PartialEq)]
-enum Stage {
-    /// There is none, or its head has not come whole.
-    Rest,
-    /// Its body is being read.
-    Body,
-    /// It was taken, and is owed an answer.
-    Taken,
-}
-
-/// A caller's place.
-struct Seat {
-    stage: Cell<Stage>,
-    /// When it connected, or had its last answer.
-    since: Cell<Instant>,
-    /// It has had an answer of some kind.
-    answered: Cell<bool>,
-    /// It was served with what a backend made for it.
-    served: Cell<bool>,
-    progress: Rc<Progress>,
-    leaving: Cell<bool>,
-    leave: Notify,
-}
-
-impl Seat {
-    /// Whether closing its connection takes away nothing that was taken or answered.
-    fn spare(&self) -> bool {
-        self.stage.get() != Stage::Taken && !self.progress.unsent() && !self.leaving.get()
-    }
-    /// Whether it has had the time that it may take.
-    fn late(&self) -> bool {
-        let past = |since: Instant, most| since.elapsed() > most;
-        match (self.stage.get(), self.answered.get(), self.progress.speaks()) {
-            (Stage::Rest, false, _) => past(self.since.get(), ARRIVE),
-            (Stage::Rest, true, Some(speaks)) => past(speaks, ARRIVE),
-            (Stage::Rest, true, None) => past(self.since.get(), REST),
-            // These have limits of their own.
-            (Stage::Body | Stage::Taken, ..) => false,
-        }
-    }
-    fn close(&self) {
-        self.leaving.set(true);
-        self.leave.notify_one();
-    }
-}
-
-/// What callers hold of the proxy.
-#[derive(Default)]
-pub struct Room {
-    seats: RefCell<BTreeMap<u64, Rc<Seat>>>,
-    next: Cell<u64>,
-    /// Descriptors of those who come in elsewhere.
-    guests: Cell<usize>,
-    /// Ids of the requests that are open.
-    ids: RefCell<HashSet<HeaderValue>>,
-    /// Requests that are owed an answer.
-    taken: Cell<usize>,
-    /// Bytes of their bodies.
-    bytes: Cell<usize>,
-}
-
-impl Room {
-    /// Makes room for one more: of those whose connection can be closed without loss the one that has been silent
-    /// longest, and before all others one that was never served.
-    fn shed(&self) -> bool {
-        let seats = self.seats.borrow();
-        let spare = seats.values().filter(|s| s.spare());
-        let longest = spare.min_by_key(|s| (s.served.get(), s.since.get()));
-        longest.inspect(|s| s.close()).is_some()
-    }
-
-    /// Descriptors that callers hold.
-    pub fn present(&self) -> usize {
-        self.seats.borrow().len() + self.guests.get()
-    }
-
-    fn sweep(&self) {
-        self.seats.borrow().values().filter(|s| s.spare() && s.late()).for_each(|s| s.close());
-    }
-}
-
-/// A place that is given back when dropped.
-struct Seated {
-    room: Rc<Room>,
-    number: u64,
-    seat: Rc<Seat>,
-}
-
-impl Seated {
-    fn new(room: &Rc<Room>, progress: Rc<Progress>) -> Self {
-        let number = room.next.get();
-        room.next.set(number + 1);
-        let seat = Rc::new(Seat {
-            stage: Cell::new(Stage::Rest),
-            since: Cell::new(Instant::now()),
-            answered: Cell::new(false),
-            served: Cell::new(false),
-            progress,
-            leaving: Cell::new(false),
-            leave: Notify::new(),
-        });
-        room.seats.borrow_mut().insert(number, seat.clone());
-        Seated { room: room.clone(), number, seat }
-    }
-}
-
-impl Drop for Seated {
-    fn drop(&mut self) {
-        self.room.seats.borrow_mut().remove(&self.number);
-    }
-}
-
-/// A descriptor of somebody who comes in elsewhere.
-pub struct Guest(Rc<Room>);
-
-impl Guest {
-    /// One more.
-    pub fn new(room: &Rc<Room>) -> Guest {
-        room.guests.set(room.guests.get() + 1);
-        Guest(room.clone())
-    }
-}
-
-impl Drop for Guest {
-    fn drop(&mut self) {
-        self.0.guests.set(self.0.guests.get() - 1);
-    }
-}
-
-/// Bytes that are held for a caller; given back when dropped.
-pub struct Stock {
-    room: Rc<Room>,
-    bytes: usize,
-}
-
-impl Stock {
-    /// None yet.
-    pub fn new(room: &Rc<Room>) -> Stock {
-        Stock { room: room.clone(), bytes: 0 }
-    }
-
-    /// Whether there is room for so many more bytes.
-    pub fn grow(&mut self, by: usize, most: usize) -> bool {
-        let all = self.room.bytes.get() + by;
-        if all <= most {
-            self.room.bytes.set(all);
-            self.bytes += by;
-        }
-        all <= most
-    }
-}
-
-impl Drop for Stock {
-    fn drop(&mut self) {
-        self.room.bytes.set(self.room.bytes.get() - self.bytes);
-    }
-}
-
-/// An open request's id, and the bytes that its body holds.
-struct Held {
-    stock: Stock,
-    id: HeaderValue,
-}
-
-impl Held {
-    /// None if a request with this id is open.
-    fn new(room: &Rc<Room>, id: &HeaderValue) -> Option<Held> {
-        let held = || Held { stock: Stock::new(room), id: id.clone() };
-        room.ids.borrow_mut().insert(id.clone()).then(held)
-    }
-}
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        self.stock.room.ids.borrow_mut().remove(&self.id);
-    }
-}
-
 /// What is needed to read requests.
 pub struct Front {
     /// Says where they go.
@@ -495,12 +306,6 @@
     }
 }
 
-/// How long who is refused for want of room should stay away, where that is told.
-pub fn away(facts: &Facts) -> Option<Duration> {
-    let caps = &facts.settings.caps;
-    caps.retry_after.then(|| millis(AWAY.min(caps.max_retry_after)))
-}
-
 /// A body of bounded length. One that is somewhat too long is read to its end, so that the caller, which may
 /// be writing still, gets to read why it is turned down.
 async fn collect(mut body: Inflow, held: &mut Held, most: usize) -> Result<Bytes, StatusCode> {
@@ -523,23 +328,6 @@
     if length > MAX_BODY { Err(StatusCode::PAYLOAD_TOO_LARGE) } else { Ok(bytes.freeze()) }
 }
 
-/// A request that is owed an answer, counted.
-pub struct Taken<'a>(&'a Room);
-
-impl<'a> Taken<'a> {
-    /// One more.
-    pub fn new(room: &'a Room) -> Self {
-        room.taken.set(room.taken.get() + 1);
-        Taken(room)
-    }
-}
-
-impl Drop for Taken<'_> {
-    fn drop(&mut self) {
-        self.0.taken.set(self.0.taken.get() - 1);
-    }
-}
-
 /// Whether a text is a number without a sign.
 fn digits(text: &str) -> bool {
     text.bytes().all(|b| b.is_ascii_digit())
@@ -601,6 +389,7 @@
     use crate::counts::{Counts, Meter};
     use crate::engine::Engine;
     use crate::engine::tests::facts;
+    use std::cell::Cell;
     use tokio::task::{LocalSet, spawn_local, yield_now};
 
     /// Callers who come at once are taken in a turn or two, however many others have something to do in each.
--- /dev/null
+++ b/crates/heathroad/src/front/mod.rs
@@ -0,0 +1,7 @@
+//! The callers' side: requests over `http` and calls over `rpc`, who share the `room` that there is. `pace` keeps a caller from
+//! taking all turns.
+
+pub mod http;
+mod pace;
+pub mod room;
+pub mod rpc;
--- /dev/null
+++ b/crates/heathroad/src/front/room.rs
@@ -0,0 +1,224 @@
+//! What callers hold of the proxy: places, bytes, ids. Whoever is seated may be asked to leave for those who wait.
+
+use crate::engine::millis;
+use crate::stream::Progress;
+use hyper::header::HeaderValue;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashSet};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+use turnshift::settings::Facts;
+
+/// A head must have come whole so long after its first byte, and a body after its head. A connection's first
+/// request must have come so long after the connect: whoever sends nothing, or sends for ever, is not waited for.
+pub const ARRIVE: Duration = Duration::from_secs(2);
+/// A connection may rest so long between requests, while places last.
+const REST: Duration = Duration::from_secs(60);
+/// Connections past the limit, taken only to be refused at once.
+pub const SPARE: usize = 16;
+/// Who is refused for want of room is told to stay away so long, where that is told.
+const AWAY: f64 = 500.0;
+
+/// What has become of a caller's present request.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Stage {
+    /// There is none, or its head has not come whole.
+    Rest,
+    /// Its body is being read.
+    Body,
+    /// It was taken, and is owed an answer.
+    Taken,
+}
+
+/// A caller's place.
+pub struct Seat {
+    pub stage: Cell<Stage>,
+    /// When it connected, or had its last answer.
+    pub since: Cell<Instant>,
+    /// It has had an answer of some kind.
+    pub answered: Cell<bool>,
+    /// It was served with what a backend made for it.
+    pub served: Cell<bool>,
+    pub progress: Rc<Progress>,
+    leaving: Cell<bool>,
+    pub leave: Notify,
+}
+
+impl Seat {
+    /// Whether closing its connection takes away nothing that was taken or answered.
+    fn spare(&self) -> bool {
+        self.stage.get() != Stage::Taken && !self.progress.unsent() && !self.leaving.get()
+    }
+    /// Whether it has had the time that it may take.
+    fn late(&self) -> bool {
+        let past = |since: Instant, most| since.elapsed() > most;
+        match (self.stage.get(), self.answered.get(), self.progress.speaks()) {
+            (Stage::Rest, false, _) => past(self.since.get(), ARRIVE),
+            (Stage::Rest, true, Some(speaks)) => past(speaks, ARRIVE),
+            (Stage::Rest, true, None) => past(self.since.get(), REST),
+            // These have limits of their own.
+            (Stage::Body | Stage::Taken, ..) => false,
+        }
+    }
+    fn close(&self) {
+        self.leaving.set(true);
+        self.leave.notify_one();
+    }
+}
+
+/// What callers hold of the proxy.
+#[derive(Default)]
+pub struct Room {
+    seats: RefCell<BTreeMap<u64, Rc<Seat>>>,
+    next: Cell<u64>,
+    /// Descriptors of those who come in elsewhere.
+    guests: Cell<usize>,
+    /// Ids of the requests that are open.
+    ids: RefCell<HashSet<HeaderValue>>,
+    /// Requests that are owed an answer.
+    pub taken: Cell<usize>,
+    /// Bytes of their bodies.
+    bytes: Cell<usize>,
+}
+
+impl Room {
+    /// Makes room for one more: of those whose connection can be closed without loss the one that has been silent
+    /// longest, and before all others one that was never served.
+    pub fn shed(&self) -> bool {
+        let seats = self.seats.borrow();
+        let spare = seats.values().filter(|s| s.spare());
+        let longest = spare.min_by_key(|s| (s.served.get(), s.since.get()));
+        longest.inspect(|s| s.close()).is_some()
+    }
+
+    /// Descriptors that callers hold.
+    pub fn present(&self) -> usize {
+        self.seats.borrow().len() + self.guests.get()
+    }
+
+    pub fn sweep(&self) {
+        self.seats.borrow().values().filter(|s| s.spare() && s.late()).for_each(|s| s.close());
+    }
+}
+
+/// A place that is given back when dropped.
+pub struct Seated {
+    room: Rc<Room>,
+    number: u64,
+    pub seat: Rc<Seat>,
+}
+
+impl Seated {
+    pub fn new(room: &Rc<Room>, progress: Rc<Progress>) -> Self {
+        let number = room.next.get();
+        room.next.set(number + 1);
+        let seat = Rc::new(Seat {
+            stage: Cell::new(Stage::Rest),
+            since: Cell::new(Instant::now()),
+            answered: Cell::new(false),
+            served: Cell::new(false),
+            progress,
+            leaving: Cell::new(false),
+            leave: Notify::new(),
+        });
+        room.seats.borrow_mut().insert(number, seat.clone());
+        Seated { room: room.clone(), number, seat }
+    }
+}
+
+impl Drop for Seated {
+    fn drop(&mut self) {
+        self.room.seats.borrow_mut().remove(&self.number);
+    }
+}
+
+/// A descriptor of somebody who comes in elsewhere.
+pub struct Guest(Rc<Room>);
+
+impl Guest {
+    /// One more.
+    pub fn new(room: &Rc<Room>) -> Guest {
+        room.guests.set(room.guests.get() + 1);
+        Guest(room.clone())
+    }
+}
+
+impl Drop for Guest {
+    fn drop(&mut self) {
+        self.0.guests.set(self.0.guests.get() - 1);
+    }
+}
+
+/// Bytes that are held for a caller; given back when dropped.
+pub struct Stock {
+    room: Rc<Room>,
+    bytes: usize,
+}
+
+impl Stock {
+    /// None yet.
+    pub fn new(room: &Rc<Room>) -> Stock {
+        Stock { room: room.clone(), bytes: 0 }
+    }
+
+    /// Whether there is room for so many more bytes.
+    pub fn grow(&mut self, by: usize, most: usize) -> bool {
+        let all = self.room.bytes.get() + by;
+        if all <= most {
+            self.room.bytes.set(all);
+            self.bytes += by;
+        }
+        all <= most
+    }
+}
+
+impl Drop for Stock {
+    fn drop(&mut self) {
+        self.room.bytes.set(self.room.bytes.get() - self.bytes);
+    }
+}
+
+/// An open request's id, and the bytes that its body holds.
+pub struct Held {
+    pub stock: Stock,
+    id: HeaderValue,
+}
+
+impl Held {
+    /// None if a request with this id is open.
+    pub fn new(room: &Rc<Room>, id: &HeaderValue) -> Option<Held> {
+        let held = || Held { stock: Stock::new(room), id: id.clone() };
+        room.ids.borrow_mut().insert(id.clone()).then(held)
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.stock.room.ids.borrow_mut().remove(&self.id);
+    }
+}
+
+/// A request that is owed an answer, counted.
+pub struct Taken<'a>(&'a Room);
+
+impl<'a> Taken<'a> {
+    /// One more.
+    pub fn new(room: &'a Room) -> Self {
+        room.taken.set(room.taken.get() + 1);
+        Taken(room)
+    }
+}
+
+impl Drop for Taken<'_> {
+    fn drop(&mut self) {
+        self.0.taken.set(self.0.taken.get() - 1);
+    }
+}
+
+/// How long who is refused for want of room should stay away, where that is told.
+pub fn away(facts: &Facts) -> Option<Duration> {
+    let caps = &facts.settings.caps;
+    caps.retry_after.then(|| millis(AWAY.min(caps.max_retry_after)))
+}
--- a/crates/heathroad/src/rpc.rs
+++ b/crates/heathroad/src/front/rpc.rs
@@ -3,14 +3,15 @@
 //! A connection is one task, which reads, begins calls, gathers answers and writes; each call in work is a task of its
 //! own. What is read ahead is bounded by the calls in work and the answers that wait to be read.
 
+use super::pace::Pace;
+use super::room::{Guest, Room, SPARE as SPARE_PLACES, Stock, Taken, away};
 use crate::backend::{Call as Outward, rpc};
 use crate::budget::{self, Books};
 use crate::counts::Final;
 use crate::effort::{self, sleep, sleep_until, spawn_in, timeout};
 use crate::engine::{self, Answer, Incoming, millis};
-use crate::front::{Guest, Room, SPARE as SPARE_PLACES, Stock, Taken, away};
-use crate::pace::Pace;
-use crate::router::{Ask, Bound, Many};
+use crate::router::many::Many;
+use crate::router::{Ask, Bound};
 use bytes::{Buf, Bytes, BytesMut};
 use heathroad_budget::path::Mark;
 use heathroad_jsonrpc::message::{
--- a/crates/heathroad/src/lib.rs
+++ b/crates/heathroad/src/lib.rs
@@ -2,60 +2,49 @@
 //!
 //! A request goes one way through the modules:
 //!
-//! - `front` takes it from its caller, checks it, and writes its one answer; `rpc` does so for calls over JSON-RPC, where
-//!   routes name listeners for it (texts and framing: `heathroad-jsonrpc`).
+//! - `front` takes it from its caller, checks it, and writes its one answer: `http`, and `rpc` for calls over JSON-RPC, where
+//!   routes name listeners for it (texts and framing: `heathroad-jsonrpc`). `room` is what callers hold of the proxy.
 //! - `router` binds it to a pool: the one of the settings, or one of many by routes that change by transactions
-//!   (decided in `heathroad-routing`; `disk` keeps them, `routes` reads their files).
-//! - `engine`, one for each pool, alone owns the decision module: it turns what happens on the sockets into the module's events, in one
-//!   order, and carries out its actions.
-//! - `backend` carries out attempts over kept connections, and says what each ending means; `stream` watches how far
-//!   a request got on a connection.
+//!   (decided in `heathroad-routing`).
+//! - `engine`, one for each pool, alone owns the decision module: it turns what happens on the sockets into the module's
+//!   events, in one order, and carries out its actions.
+//! - `backend` carries out attempts over kept connections, and says what each ending means.
 //!
-//! Beside that way: `config` is read at the start, `discovery` follows the list of backends (`roster` is its form),
-//! `counts` and `admin` tell operators what was done, `cli` is the command line, `remote` its calls to a daemon. Everything runs on one thread.
-//! `effort` counts what requests ask of the system. This file holds the start, the signals and the wiring.
+//! Beside that way: `configuration` is read at the start and kept on disk, `discovery` follows the list of backends,
+//! `operation` is the command line and the address at which operators ask. Both ends of the way use `stream`, which watches how
+//! far a request got on a connection, `budget`, `counts`, and `effort`, which counts what requests ask of the system.
+//! Everything runs on one thread. This file holds the start, the signals and the wiring.
 
 #![cfg_attr(not(test), deny(clippy::disallowed_methods))]
 
-mod admin;
 mod backend;
 mod budget;
-mod cli;
-mod config;
+mod configuration;
 mod counts;
 mod discovery;
-mod disk;
 mod effort;
 mod engine;
-mod expect;
 mod front;
-mod gate;
-mod pace;
-mod remote;
-mod roster;
+mod operation;
 mod router;
-mod routes;
-mod rpc;
 mod stream;
-mod wait;
 
 use crate::effort::{sleep, spawn_local, timeout};
 use backend::Pool;
 use budget::Books;
-use clap::Parser;
-use cli::{Cli, Command};
-use config::Config;
+use configuration::Config;
 use counts::{Counts, Meter};
 use discovery::News;
 use engine::{Engine, millis};
-use front::Front;
+use front::http::Front;
+use front::{room, rpc};
 use heathroad_routing::transaction::Event;
-use hyper::Method;
-use router::{Many, Router};
+use operation::admin;
+use router::many::Many;
+use router::{Router, start as routed};
 use std::hash::{BuildHasher, Hasher, RandomState};
 use std::io::Write;
 use std::net::SocketAddr;
-use std::path::Path;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -74,95 +63,17 @@
 const SWEEP: Duration = Duration::from_secs(1);
 /// Descriptors that are neither callers' nor backends' connections: standard streams, the listener, the
 /// reactor, signals, discovery, and connections that are taken only to be refused.
-const RESERVED: usize = 16 + front::SPARE;
+const RESERVED: usize = 16 + room::SPARE;
 /// The bodies of open requests may fill this part of the memory; the rest is for buffers, answers and the program.
 const BODIES: usize = 4;
 
-/// The exit code for a file that `check`, `diff`, `expect` or `drains` turns down; a failed start ends with 1.
-const BAD_INPUT: u8 = 2;
-
-/// The program, by its command line: the daemon where that says nothing, else a look at files or a call to a daemon.
+/// The program, by its command line: the daemon where that says nothing.
 pub fn main() -> ExitCode {
-    let (done, code) = match Cli::parse().command {
-        None => (start(), ExitCode::FAILURE),
-        Some(Command::Check { file }) => (check(&file), ExitCode::from(BAD_INPUT)),
-        Some(Command::Expect { with }) => (told(expect::expect(&with)), ExitCode::from(BAD_INPUT)),
-        Some(Command::Drains { with, node, site, at_once }) => {
-            (told(expect::plan(&with, &node, &site, at_once)), ExitCode::from(BAD_INPUT))
-        }
-        Some(Command::Diff { from, to }) => (diff(&from, &to), ExitCode::from(BAD_INPUT)),
-        Some(Command::Apply { file, at }) => (apply(&file, at.admin), ExitCode::FAILURE),
-        Some(Command::Status { at }) => (ask(at.admin, Method::GET, "/config/status"), ExitCode::FAILURE),
-        Some(Command::Undo { at }) => (ask(at.admin, Method::POST, "/config/undo"), ExitCode::FAILURE),
-    };
-    match done {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("heathroad: {e}");
-            code
-        }
-    }
-}
-
-fn check(file: &Path) -> Result<(), String> {
-    if file.extension().is_some_and(|e| e == "toml") {
-        let routes = routes::read(file)?;
-        let (pools, count) = (routes.config.pools.len(), routes.config.routes.len());
-        return say(&format!(
-            "{}: good: {pools} pools, {count} routes, digest {}",
-            file.display(),
-            routes.digest
-        ));
-    }
-    let config = config::check(file)?;
-    if let Some(file) = &config.routes {
-        routes::rounds(&*routes::read(file)?, config.listen)?;
-    }
-    let site = &config.facts.site;
-    say(&format!(
-        "{}: good: {} classes, {} tenants, listens on {}, discovery at {}",
-        file.display(),
-        site.classes.len(),
-        site.tenants.len(),
-        config.listen,
-        config.discovery
-    ))
-}
-
-fn diff(from: &Path, to: &Path) -> Result<(), String> {
-    let (from, to) = (routes::read(from)?, routes::read(to)?);
-    let words = heathroad_routing::diff::words(&from, &to);
-    say(if words.is_empty() { "no request moves, no pool changes".to_string() } else { words.join("\n") }
-        .as_str())
-}
-
-/// What is found broken is an answer like any other, with an exit code of its own.
-fn told(found: Result<String, expect::Trouble>) -> Result<(), String> {
-    match found {
-        Ok(text) => say(&text),
-        Err(expect::Trouble::Other(e)) => Err(e),
-        Err(expect::Trouble::Broken(text)) => {
-            say(&text)?;
-            Err("what is expected does not hold".to_string())
-        }
-    }
-}
-
-fn apply(file: &Path, admin: Option<SocketAddr>) -> Result<(), String> {
-    let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
-    say(&remote::call(admin, Method::POST, "/config/apply", text)?)
-}
-
-fn ask(admin: Option<SocketAddr>, method: Method, path: &str) -> Result<(), String> {
-    say(&remote::call(admin, method, path, String::new())?)
-}
-
-fn say(text: &str) -> Result<(), String> {
-    writeln!(std::io::stdout(), "{text}").map_err(|e| format!("standard output: {e}"))
+    operation::commands::main(start)
 }
 
 fn start() -> Result<(), String> {
-    let config = config::load()?;
+    let config = configuration::load()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
     LocalSet::new().block_on(&runtime, run(config))
@@ -221,7 +132,7 @@
             Lists::Routes(many) => {
                 many.move_registry(address);
                 if let Some(file) = &config.routes {
-                    spawn_local(routes::reload(file.clone(), many.clone()));
+                    spawn_local(routed::reload(file.clone(), many.clone()));
                 }
             }
         }
@@ -248,7 +159,7 @@
     let (facts, descriptors) = (config.facts.clone(), config.sockets);
     let mut source = match &config.routes {
         None => one_pool(&mut config, &pool)?,
-        Some(file) => Lists::Routes(routes::start(file, &config, &pool)?),
+        Some(file) => Lists::Routes(routed::start(file, &config, &pool)?),
     };
     let router = Rc::new(match &source {
         Lists::One { engine, .. } => Router::One(engine.clone()),
@@ -292,7 +203,7 @@
             _ = terminated.recv() => break,
             _ = reloaded.recv() => {}
         }
-        match config::reload() {
+        match configuration::reload() {
             Ok(config) => source.reload(&config),
             Err(e) => eprintln!("heathroad: configuration kept: {e}"),
         }
--- a/crates/heathroad/src/admin.rs
+++ b/crates/heathroad/src/operation/admin.rs
@@ -2,7 +2,8 @@
 //! there are routes, changing them.
 
 use crate::effort::{sleep, spawn_local, timeout};
-use crate::router::{Router, words};
+use crate::router::Router;
+use crate::router::change::words;
 use bytes::Bytes;
 use heathroad_routing::transaction::{Event, Said};
 use http_body_util::{BodyExt, Full, Limited};
--- /dev/null
+++ b/crates/heathroad/src/operation/commands.rs
@@ -0,0 +1,94 @@
+//! What the program does beside running: looks at files, and calls to a running daemon.
+
+use super::cli::{Cli, Command};
+use super::{expect, remote};
+use crate::configuration::{self as config, routes};
+use clap::Parser;
+use hyper::Method;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::ExitCode;
+
+/// The exit code for a file that `check`, `diff`, `expect` or `drains` turns down; a failed start ends with 1.
+const BAD_INPUT: u8 = 2;
+
+/// The program, by its command line: the daemon where that says nothing, else a look at files or a call to a daemon.
+pub fn main(start: impl FnOnce() -> Result<(), String>) -> ExitCode {
+    let (done, code) = match Cli::parse().command {
+        None => (start(), ExitCode::FAILURE),
+        Some(Command::Check { file }) => (check(&file), ExitCode::from(BAD_INPUT)),
+        Some(Command::Expect { with }) => (told(expect::expect(&with)), ExitCode::from(BAD_INPUT)),
+        Some(Command::Drains { with, node, site, at_once }) => {
+            (told(expect::plan(&with, &node, &site, at_once)), ExitCode::from(BAD_INPUT))
+        }
+        Some(Command::Diff { from, to }) => (diff(&from, &to), ExitCode::from(BAD_INPUT)),
+        Some(Command::Apply { file, at }) => (apply(&file, at.admin), ExitCode::FAILURE),
+        Some(Command::Status { at }) => (ask(at.admin, Method::GET, "/config/status"), ExitCode::FAILURE),
+        Some(Command::Undo { at }) => (ask(at.admin, Method::POST, "/config/undo"), ExitCode::FAILURE),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("heathroad: {e}");
+            code
+        }
+    }
+}
+
+fn check(file: &Path) -> Result<(), String> {
+    if file.extension().is_some_and(|e| e == "toml") {
+        let routes = routes::read(file)?;
+        let (pools, count) = (routes.config.pools.len(), routes.config.routes.len());
+        return say(&format!(
+            "{}: good: {pools} pools, {count} routes, digest {}",
+            file.display(),
+            routes.digest
+        ));
+    }
+    let config = config::check(file)?;
+    if let Some(file) = &config.routes {
+        routes::rounds(&*routes::read(file)?, config.listen)?;
+    }
+    let site = &config.facts.site;
+    say(&format!(
+        "{}: good: {} classes, {} tenants, listens on {}, discovery at {}",
+        file.display(),
+        site.classes.len(),
+        site.tenants.len(),
+        config.listen,
+        config.discovery
+    ))
+}
+
+fn diff(from: &Path, to: &Path) -> Result<(), String> {
+    let (from, to) = (routes::read(from)?, routes::read(to)?);
+    let words = heathroad_routing::diff::words(&from, &to);
+    say(if words.is_empty() { "no request moves, no pool changes".to_string() } else { words.join("\n") }
+        .as_str())
+}
+
+/// What is found broken is an answer like any other, with an exit code of its own.
+fn told(found: Result<String, expect::Trouble>) -> Result<(), String> {
+    match found {
+        Ok(text) => say(&text),
+        Err(expect::Trouble::Other(e)) => Err(e),
+        Err(expect::Trouble::Broken(text)) => {
+            say(&text)?;
+            Err("what is expected does not hold".to_string())
+        }
+    }
+}
+
+fn apply(file: &Path, admin: Option<SocketAddr>) -> Result<(), String> {
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
+    say(&remote::call(admin, Method::POST, "/config/apply", text)?)
+}
+
+fn ask(admin: Option<SocketAddr>, method: Method, path: &str) -> Result<(), String> {
+    say(&remote::call(admin, method, path, String::new())?)
+}
+
+fn say(text: &str) -> Result<(), String> {
+    writeln!(std::io::stdout(), "{text}").map_err(|e| format!("standard output: {e}"))
+}
--- a/crates/heathroad/src/expect.rs
+++ b/crates/heathroad/src/operation/expect.rs
@@ -1,7 +1,8 @@
 //! Expectations on the command line: held against a file of routes, and drains planned by them.
 
-use crate::cli::With;
-use crate::{config, gate, remote, routes};
+use super::remote;
+use crate::configuration::{self as config, gate, routes};
+use crate::operation::cli::With;
 use heathroad_expect::nodes;
 use heathroad_expect::plan::{Plan, drains};
 use heathroad_expect::{Expectations, Here, Node, Report, judge};
--- /dev/null
+++ b/crates/heathroad/src/operation/mod.rs
@@ -0,0 +1,7 @@
+//! What operators see and ask: the command line, and the address at which a running daemon answers them.
+
+pub mod admin;
+mod cli;
+pub mod commands;
+mod expect;
+mod remote;
--- a/crates/heathroad/src/routes.rs
+++ b/crates/heathroad/src/router/start.rs
@@ -1,28 +1,17 @@
-//! Files of routes and pools: read and checked, for the command line, a start and a reload.
+//! Pools by routes at a start and at a reload: what was committed goes before the file.
 
+use super::many::{Base, Many};
 use crate::backend::Pool;
-use crate::config::Config;
-use crate::disk::Folder;
-use crate::gate::{self, Gate};
-use crate::router::{Base, Many};
+use crate::configuration::Config;
+use crate::configuration::disk::Folder;
+use crate::configuration::gate::{self, Gate};
+use crate::configuration::routes::{numbered, rounds};
 use heathroad_routing::generation::Generation;
 use heathroad_routing::journal::{Journal, OpenError, Record};
 use heathroad_routing::transaction::Terms;
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
-/// Reads and checks a file; an error has a line for everything that is wrong.
-pub fn read(path: &Path) -> Result<Rc<Generation>, String> {
-    numbered(path, 0)
-}
-
-fn numbered(path: &Path, number: u64) -> Result<Rc<Generation>, String> {
-    let name = path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
-    Generation::read(number, &name, &text).map_err(|e| e.to_string())
-}
-
 /// Begins with the last committed generation, where one is kept; else with the file.
 pub fn start(file: &Path, config: &Config, connections: &Rc<Pool>) -> Result<Rc<Many>, String> {
     let (mut journal, mut highest, mut first) = (None, 1, None);
@@ -93,17 +82,6 @@
     Many::new(base, first, highest, journal)
 }
 
-/// A pool whose backends are the daemon itself sends requests round and round.
-pub fn rounds(generation: &Generation, listens: SocketAddr) -> Result<(), String> {
-    match generation.config.rounds(listens).next() {
-        None => Ok(()),
-        Some(pool) => Err(format!(
-            "routes: pool {:?}: one of its backends is this daemon itself, at {listens}; expected servers",
-            pool.name
-        )),
-    }
-}
-
 /// What is known to be broken of what is expected before a registry has told any node; no start is made on that. (What was
 /// committed has passed, and stays whatever has become of its nodes.)
 fn expected(gate: &Gate, first: &Generation, config: &Config) -> Result<(), String> {
