heathroad-fleet: membership, versions, records of acts and whole texts, without I/O

A proxy knew nothing of its fellows: nobody could say who is there, what each acts on, or what it did on which version. The package decides that without I/O: SWIM with suspicion and Lifeguard's doubt of itself over the known list of addresses; datagrams of at most 256 bytes with the fleet's name, a protocol range, both sides' lives, a number and a keyed MAC (hmac, sha2), so that what is forged, foreign, repeated or of a former life is counted and dropped without any shared clock; digests of versions spread by gossip, whole ones on request; a bounded record of acts by version; texts fetched in parts. foca was weighed: it has no Lifeguard, and its state can't be hashed for a model checker. Not yet part of the daemon.

--- /dev/null
+++ b/crates/heathroad-fleet/src/record.rs
@@ -0,0 +1,317 @@
+//! The record of a proxy's acts: under which version, from when to when, the first and the last, how many of which kind.
+//!
+//! A page is one interval in which one version was in force. What is done for a request is written on the page that was open
+//! when the request was bound, also when it is done long after; so a page's acts go on after its interval. The record is bounded:
+//! past [`MAX_PAGES`], neighbours that differ in their lists of backends alone become one page, which says of how many; where there
+//! are none, the oldest page is given up, and what it held is told as lost.
+
+use crate::version::{Digest, Version};
+use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+/// Most pages.
+pub const MAX_PAGES: usize = 256;
+
+/// What a proxy does, as far as a version decides it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Act {
+    /// A request was bound.
+    Bound,
+    /// An attempt was sent to a backend.
+    Sent,
+    /// A request was answered with what a backend made for it.
+    Served,
+    /// A request was refused.
+    Refused,
+    /// A request failed, or its time was over, or its caller left.
+    Failed,
+    /// A change came into force.
+    Applied,
+    /// A change was undone.
+    Undone,
+}
+
+/// How many of each kind.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Acts {
+    /// [`Act::Bound`].
+    pub bound: u64,
+    /// [`Act::Sent`].
+    pub sent: u64,
+    /// [`Act::Served`].
+    pub served: u64,
+    /// [`Act::Refused`].
+    pub refused: u64,
+    /// [`Act::Failed`].
+    pub failed: u64,
+    /// [`Act::Applied`].
+    pub applied: u64,
+    /// [`Act::Undone`].
+    pub undone: u64,
+}
+
+impl Acts {
+    fn add(&mut self, act: Act) {
+        let count = match act {
+            Act::Bound => &mut self.bound,
+            Act::Sent => &mut self.sent,
+            Act::Served => &mut self.served,
+            Act::Refused => &mut self.refused,
+            Act::Failed => &mut self.failed,
+            Act::Applied => &mut self.applied,
+            Act::Undone => &mut self.undone,
+        };
+        *count += 1;
+    }
+
+    fn plus(self, other: Acts) -> Acts {
+        Acts {
+            bound: self.bound + other.bound,
+            sent: self.sent + other.sent,
+            served: self.served + other.served,
+            refused: self.refused + other.refused,
+            failed: self.failed + other.failed,
+            applied: self.applied + other.applied,
+            undone: self.undone + other.undone,
+        }
+    }
+
+    /// All of them.
+    pub fn sum(&self) -> u64 {
+        let Acts { bound, sent, served, refused, failed, applied, undone } = *self;
+        bound + sent + served + refused + failed + applied + undone
+    }
+}
+
+/// Unix time in milliseconds, by the proxy's own clock.
+pub type Unix = u64;
+
+/// An interval, as it is kept and told.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Kept {
+    /// In which of the proxy's lives.
+    pub life: u64,
+    /// What was in force; of a page made of several, the last.
+    pub version: Version,
+    /// Its digest.
+    pub digest: Digest,
+    /// How many versions the page is of; more than one only where they differ in lists of backends alone.
+    pub versions: u64,
+    /// From when on.
+    pub from: Unix,
+    /// Until when; none while it is in force.
+    pub to: Option<Unix>,
+    /// The process ended without closing the page: what it did after `to` is not on record.
+    #[serde(default)]
+    pub torn: bool,
+    /// The first act.
+    pub first: Option<Unix>,
+    /// The last one, which may lie behind `to`.
+    pub last: Option<Unix>,
+    /// How many of which kind.
+    pub acts: Acts,
+}
+
+/// What was given up of a record.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lost {
+    /// Pages.
+    pub pages: u64,
+    /// Their acts.
+    pub acts: Acts,
+    /// The end of the last of them.
+    pub until: Option<Unix>,
+}
+
+/// A record, as it is kept and told.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Told {
+    /// When it was written down, by the proxy's clock.
+    pub at: Unix,
+    /// Since when it is kept; nothing is known of before.
+    pub since: Unix,
+    /// Its pages, the oldest first.
+    pub pages: Vec<Kept>,
+    /// What was given up for want of room.
+    pub lost: Lost,
+}
+
+/// A page that acts are written on. Who holds it may write on it for as long as it likes.
+#[derive(Debug)]
+pub struct Page {
+    kept: RefCell<Kept>,
+    /// The page that this one has become part of.
+    into: RefCell<Option<Rc<Page>>>,
+}
+
+impl Page {
+    fn new(kept: Kept) -> Rc<Page> {
+        Rc::new(Page { kept: RefCell::new(kept), into: RefCell::default() })
+    }
+
+    /// Writes an act down.
+    pub fn act(self: &Rc<Self>, act: Act, now: Unix) {
+        let mut page = self.clone();
+        while let Some(next) = { page.into.borrow().clone() } {
+            page = next;
+        }
+        let kept = &mut *page.kept.borrow_mut();
+        kept.acts.add(act);
+        kept.first = Some(kept.first.map_or(now, |first| first.min(now)));
+        kept.last = Some(kept.last.map_or(now, |last| last.max(now)));
+    }
+
+    /// The digest of its version.
+    pub fn digest(&self) -> Digest {
+        self.kept.borrow().digest
+    }
+}
+
+/// A proxy's record.
+#[derive(Debug)]
+pub struct Record {
+    life: u64,
+    since: Unix,
+    pages: VecDeque<Rc<Page>>,
+    /// Where the acts of requests go whose page was given up.
+    lost: Rc<Page>,
+    lost_pages: u64,
+    lost_until: Option<Unix>,
+    /// Grows with every page that is begun, joined or given up.
+    changes: u64,
+}
+
+impl Record {
+    /// Begins with what was kept from before; without it, nothing is known of before `now`.
+    pub fn new(now: Unix, life: u64, before: Option<Told>) -> Record {
+        let since = before.as_ref().map_or(now, |told| told.since);
+        let lost = before.as_ref().map_or_else(Lost::default, |told| told.lost);
+        let mut record = Record {
+            life,
+            since,
+            pages: VecDeque::new(),
+            lost: Page::new(blank(lost.acts)),
+            lost_pages: lost.pages,
+            lost_until: lost.until,
+            changes: 0,
+        };
+        if let Some(told) = before {
+            for mut kept in told.pages {
+                if kept.to.is_none() {
+                    (kept.to, kept.torn) = (Some(told.at), true);
+                }
+                record.pages.push_back(Page::new(kept));
+            }
+            record.bound();
+        }
+        record
+    }
+
+    /// From now on this version is in force.
+    pub fn begin(&mut self, now: Unix, version: Version) -> Rc<Page> {
+        let (digest, life) = (version.digest(), self.life);
+        if let Some(page) = self.pages.back() {
+            let kept = page.kept.borrow();
+            if kept.digest == digest && kept.life == life && kept.to.is_none() {
+                return page.clone();
+            }
+        }
+        self.close(now);
+        let page =
+            Page::new(Kept { life, version, digest, versions: 1, from: now, ..blank(Acts::default()) });
+        self.pages.push_back(page.clone());
+        self.bound();
+        page
+    }
+
+    /// The page in force.
+    pub fn open(&self) -> Option<&Rc<Page>> {
+        self.pages.back()
+    }
+
+    /// Nothing is in force any more: the proxy stops.
+    pub fn close(&mut self, now: Unix) {
+        self.changes += 1;
+        if let Some(page) = self.pages.back() {
+            let mut kept = page.kept.borrow_mut();
+            kept.to.get_or_insert(now);
+        }
+    }
+
+    /// Grows with every page that is begun, joined or given up.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    fn bound(&mut self) {
+        while self.pages.len() > MAX_PAGES {
+            let alike = |at: &usize| {
+                let (one, next) = (self.pages[*at].kept.borrow(), self.pages[*at + 1].kept.borrow());
+                let (a, b) = (&one.version, &next.version);
+                one.life == next.life
+                    && one.torn == next.torn
+                    && (&a.build, a.settings, a.generation, a.routes)
+                        == (&b.build, b.settings, b.generation, b.routes)
+            };
+            // The page in force stays as it is.
+            match (0..self.pages.len() - 2).find(alike) {
+                Some(at) => self.join(at),
+                None => {
+                    let Some(page) = self.pages.pop_front() else { return };
+                    let lost = self.lost.kept.borrow().acts.plus(page.kept.borrow().acts);
+                    self.lost.kept.borrow_mut().acts = lost;
+                    self.lost_until = page.kept.borrow().to;
+                    self.lost_pages += 1;
+                    page.into.replace(Some(self.lost.clone()));
+                }
+            }
+            self.changes += 1;
+        }
+    }
+
+    /// A page takes the one before it in.
+    fn join(&mut self, at: usize) {
+        let Some(before) = self.pages.remove(at) else { return };
+        let page = &self.pages[at];
+        {
+            let (mut kept, old) = (page.kept.borrow_mut(), before.kept.borrow());
+            kept.versions += old.versions;
+            kept.from = old.from;
+            kept.acts = kept.acts.plus(old.acts);
+            kept.first = [old.first, kept.first].into_iter().flatten().min();
+            kept.last = [old.last, kept.last].into_iter().flatten().max();
+        }
+        before.into.replace(Some(page.clone()));
+    }
+
+    /// As it stands.
+    pub fn told(&self, now: Unix) -> Told {
+        let acts = self.lost.kept.borrow().acts;
+        Told {
+            at: now,
+            since: self.since,
+            pages: self.pages.iter().map(|p| p.kept.borrow().clone()).collect(),
+            lost: Lost { pages: self.lost_pages, acts, until: self.lost_until },
+        }
+    }
+}
+
+fn blank(acts: Acts) -> Kept {
+    let version = Version::default();
+    let digest = Digest::default();
+    Kept {
+        life: 0,
+        version,
+        digest,
+        versions: 0,
+        from: 0,
+        to: None,
+        torn: false,
+        first: None,
+        last: None,
+        acts,
+    }
+}
--- /dev/null
+++ b/crates/heathroad-fleet/tests/histories.rs
@@ -0,0 +1,70 @@
+//! Random histories of small fleets, held against the truth: whoever runs is known, whoever does not is not taken for there, as
+//! soon as the faults are over. `FLEET_HISTORIES` asks for more of them, from `FLEET_SEED` on.
+
+mod common;
+
+use common::{Faults, World, version};
+
+fn number(name: &str, usual: u64) -> u64 {
+    std::env::var(name).ok().and_then(|v| v.parse().ok()).unwrap_or(usual)
+}
+
+fn history(seed: u64) {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let members = rng.u16(2..7);
+    let mut world = World::new(members, seed);
+    world.run(rng.u64(0..5_000));
+    for step in 0..rng.u64(3..10) {
+        let who = rng.u16(0..members);
+        let runs = world.running().contains(&who);
+        match rng.u32(0..7) {
+            0 if runs => world.kill(who),
+            1 if !runs => world.start(who),
+            // Its clock was set back, or forward.
+            2 if !runs => {
+                world.start_in(who, common::EPOCH.wrapping_add_signed(rng.i64(-5_000_000..5_000_000)))
+            }
+            3 => world.stall(who, rng.u64(0..30_000)),
+            4 => {
+                let one: Vec<u16> = (0..members).filter(|_| rng.bool()).collect();
+                let other: Vec<u16> = (0..members).filter(|p| !one.contains(p)).collect();
+                world.cut(&one, &other);
+            }
+            5 => {
+                let to = rng.u16(0..members);
+                world.faults.cut.insert((who, to));
+            }
+            _ => {
+                world.faults.cut.clear();
+                (world.faults.loss, world.faults.twice) = (rng.f64() * 0.4, rng.f64() * 0.2);
+                world.faults.delay = rng.u64(1..400);
+            }
+        }
+        if world.running().contains(&who) {
+            world.fleet_mut(who).act_on(version(step));
+        }
+        world.run(rng.u64(0..15_000));
+    }
+    world.faults = Faults { delay: 12, ..Faults::default() };
+    world.stalled.iter_mut().for_each(|s| *s = 0);
+    if world.running().len() < 2 {
+        world.start(0);
+        world.start(1);
+    }
+    let end = world.now + 300_000;
+    // Two that alone are left of more can't tell a death from a cut, where no third speaks.
+    let settled = world.run_until(end, World::agree);
+    if settled.is_none() {
+        for at in world.running() {
+            println!("{at}: {:#?}", world.fleet(at).members(world.now));
+        }
+    }
+    assert!(settled.is_some(), "seed {seed}: no agreement after the last fault");
+    assert!(world.longest <= 256, "seed {seed}");
+}
+
+#[test]
+fn random_histories_end_in_agreement() {
+    let (from, count) = (number("FLEET_SEED", 1), number("FLEET_HISTORIES", 1000));
+    (from..from + count).for_each(history);
+}
