--- a/crates/heathroad-fleet/src/fleet/mod.rs
+++ b/crates/heathroad-fleet/src/fleet/mod.rs
@@ -47,6 +47,15 @@
     pub texts: u32,
 }
 
+impl Terms {
+    /// The usual ones, with all times in proportion to a period.
+    pub fn with_period(period: Millis) -> Terms {
+        let usual = Terms::default();
+        let scaled = |time: Millis| (time * period / usual.period).max(1);
+        Terms { period, answer: scaled(usual.answer), gossip: scaled(usual.gossip), ..usual }
+    }
+}
+
 impl Default for Terms {
     fn default() -> Self {
         Terms {
--- a/crates/heathroad-fleet/src/record.rs
+++ b/crates/heathroad-fleet/src/record.rs
@@ -115,6 +115,30 @@
     pub acts: Acts,
 }
 
+/// What kept a proxy from its fellows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Trouble {
+    /// It heard nobody.
+    CutOff,
+    /// It did nothing, by no will of its own.
+    Stalled,
+}
+
+/// A time of trouble.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Spell {
+    /// Of which kind.
+    pub trouble: Trouble,
+    /// From when on.
+    pub from: Unix,
+    /// Until when; none while it lasts.
+    pub to: Option<Unix>,
+}
+
+/// Most spells; the oldest go first.
+pub const MAX_SPELLS: usize = 128;
+
 /// What was given up of a record.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Lost {
@@ -137,6 +161,9 @@
     pub pages: Vec<Kept>,
     /// What was given up for want of room.
     pub lost: Lost,
+    /// When it was kept from its fellows, the oldest first.
+    #[serde(default)]
+    pub spells: Vec<Spell>,
 }
 
 /// A page that acts are written on. Who holds it may write on it for as long as it likes.
@@ -180,6 +207,7 @@
     lost: Rc<Page>,
     lost_pages: u64,
     lost_until: Option<Unix>,
+    spells: VecDeque<Spell>,
     /// Grows with every page that is begun, joined or given up.
     changes: u64,
 }
@@ -196,9 +224,12 @@
             lost: Page::new(blank(lost.acts)),
             lost_pages: lost.pages,
             lost_until: lost.until,
+            spells: VecDeque::new(),
             changes: 0,
         };
         if let Some(told) = before {
+            let ended = |s: Spell| Spell { to: s.to.or(Some(told.at)), ..s };
+            record.spells = told.spells.into_iter().map(ended).collect();
             for mut kept in told.pages {
                 if kept.to.is_none() {
                     (kept.to, kept.torn) = (Some(told.at), true);
@@ -241,6 +272,24 @@
         }
     }
 
+    /// A spell of trouble begins, or is told when it is over.
+    pub fn spell(&mut self, spell: Spell) {
+        self.changes += 1;
+        if self.spells.len() >= MAX_SPELLS {
+            self.spells.pop_front();
+        }
+        self.spells.push_back(spell);
+    }
+
+    /// The spell of a kind that lasts is over.
+    pub fn spell_over(&mut self, trouble: Trouble, now: Unix) {
+        self.changes += 1;
+        let lasting = self.spells.iter_mut().rev().find(|s| s.trouble == trouble && s.to.is_none());
+        if let Some(spell) = lasting {
+            spell.to = Some(now);
+        }
+    }
+
     /// Grows with every page that is begun, joined or given up.
     pub fn changes(&self) -> u64 {
         self.changes
@@ -295,6 +344,7 @@
             since: self.since,
             pages: self.pages.iter().map(|p| p.kept.borrow().clone()).collect(),
             lost: Lost { pages: self.lost_pages, acts, until: self.lost_until },
+            spells: self.spells.iter().copied().collect(),
         }
     }
 }
--- a/crates/heathroad-rehearsal/src/daemon.rs
+++ b/crates/heathroad-rehearsal/src/daemon.rs
@@ -173,6 +173,16 @@
         self.signal(Signal::HUP)
     }
 
+    /// Stalls it: it does nothing until it is woken.
+    pub fn stall(&self) -> io::Result<()> {
+        self.signal(Signal::STOP)
+    }
+
+    /// Lets a stalled one go on.
+    pub fn wake(&self) -> io::Result<()> {
+        self.signal(Signal::CONT)
+    }
+
     /// Tells it to stop as planned.
     pub fn terminate(&self) -> io::Result<()> {
         self.signal(Signal::TERM)
@@ -223,19 +233,27 @@
     Some(Usage { cpu_us, peak_kb })
 }
 
+/// A call to a daemon that takes longer is not coming to an end.
+const PATIENCE: Duration = Duration::from_secs(1);
+
 /// A plain GET on a connection of its own.
 pub async fn get(addr: SocketAddr, path: &str) -> io::Result<(u16, Vec<u8>)> {
-    call(addr, format!("GET {path} HTTP/1.1\r\nHost: heathroad\r\n\r\n")).await
+    get_within(addr, path, PATIENCE).await
+}
+
+/// The same where an answer may take so long.
+pub async fn get_within(addr: SocketAddr, path: &str, most: Duration) -> io::Result<(u16, Vec<u8>)> {
+    call(addr, format!("GET {path} HTTP/1.1\r\nHost: heathroad\r\n\r\n"), most).await
 }
 
 /// A plain POST on a connection of its own.
 pub async fn post(addr: SocketAddr, path: &str, body: &str) -> io::Result<(u16, Vec<u8>)> {
     let length = body.len();
-    call(addr, format!("POST {path} HTTP/1.1\r\nHost: heathroad\r\nContent-Length: {length}\r\n\r\n{body}"))
-        .await
+    let head = format!("POST {path} HTTP/1.1\r\nHost: heathroad\r\nContent-Length: {length}\r\n\r\n");
+    call(addr, head + body, PATIENCE).await
 }
 
-async fn call(addr: SocketAddr, request: String) -> io::Result<(u16, Vec<u8>)> {
+async fn call(addr: SocketAddr, request: String, most: Duration) -> io::Result<(u16, Vec<u8>)> {
     let call = async {
         let mut stream = TcpStream::connect(addr).await?;
         stream.write_all(request.as_bytes()).await?;
@@ -243,5 +261,5 @@
         let response = buffer.response(&mut stream).await;
         response.map_err(|_| io::Error::other("no whole answer")).map(|r| (r.status, r.body))
     };
-    timeout(Duration::from_secs(1), call).await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+    timeout(most, call).await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
 }
--- a/crates/heathroad-rehearsal/src/http.rs
+++ b/crates/heathroad-rehearsal/src/http.rs
@@ -32,6 +32,8 @@
     pub rpc: Option<String>,
     /// `Req-Budget` and `Req-Path`, to be copied as they are.
     pub carried: [Option<String>; 2],
+    /// `Req-Version`: by which version it was bound.
+    pub version: Option<String>,
 }
 
 /// An answer as a client reads it.
@@ -146,6 +148,7 @@
             body: line.len(),
             rpc: Some(call["id"].to_string()),
             carried: [None, None],
+            version: None,
         })
     }
 
@@ -204,6 +207,7 @@
         body: 0,
         rpc: None,
         carried: ["req-budget", "req-path"].map(|name| text(head.headers, name).map(str::to_string)),
+        version: text(head.headers, "req-version").map(str::to_string),
     };
     Ok(Some((request, end, length(head.headers)?)))
 }
--- a/crates/heathroad-rehearsal/src/lib.rs
+++ b/crates/heathroad-rehearsal/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`plan`]: everything that will happen, drawn ahead from a seed, with a digest.
 //! - [`stage`]: puts it on. [`daemon`] runs the real processes, [`stand_in`] plays backends and registry, [`load`]
 //!   the clients (both over [`caller`] and [`http`], clients also over [`remote`]). All write [`ledger`]s by one [`clock`].
+//! - [`fleet`]: several daemons with a network between them, for plain tests, without a stage.
 //! - [`judge`]: a pure function from ledgers to a verdict. [`agreement`] sets it beside the daemon's own counts.
 //! - [`outcome`]: the two together with the void rules, as table, JSON and exit code; [`report`] as a page.
 
@@ -15,6 +16,7 @@
 pub mod cli;
 pub mod clock;
 pub mod daemon;
+pub mod fleet;
 pub mod http;
 pub mod judge;
 pub mod ledger;
--- a/crates/heathroad-rehearsal/src/stage.rs
+++ b/crates/heathroad-rehearsal/src/stage.rs
@@ -146,7 +146,7 @@
 }
 
 /// A loopback network of this process's own, so that a port that a stand-in has left is taken by nobody else.
-fn network() -> [u8; 3] {
+pub fn network() -> [u8; 3] {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let id = std::process::id().wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed).wrapping_mul(7919));
     [127, 16 + (id % 224) as u8, (id / 224 % 250) as u8]
--- a/crates/heathroad-rehearsal/src/stand_in/mod.rs
+++ b/crates/heathroad-rehearsal/src/stand_in/mod.rs
@@ -1,7 +1,8 @@
-//! Stand-ins for what surrounds the daemon: backends and the registry. They follow the protocol that the daemon
+//! Stand-ins for what surrounds the daemon: backends, the registry, the network between proxies. They follow the protocol that the daemon
 //! speaks, and fail where they are told to.
 
 pub mod backend;
 pub mod machine;
 pub mod memory;
+pub mod network;
 pub mod registry;
--- /dev/null
+++ b/crates/heathroad-rehearsal/tests/fleet.rs
@@ -0,0 +1,256 @@
+//! Several processes of the daemon with faults between them: what they know of each other, and what their audit says.
+
+mod common;
+
+use common::daemon;
+use heathroad_rehearsal::fleet::{Fleet, Options};
+use heathroad_rehearsal::stand_in::network::Fate;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::net::UdpSocket;
+use std::time::Duration;
+use tokio::time::sleep;
+
+const PERIOD_MS: u64 = 300;
+
+fn routes(generation: u64) -> String {
+    format!(
+        r#"
+[[pool]]
+name = "all"
+backends = ["BACKEND"]
+[[pool.class]]
+name = "look"
+effect = "safe"
+aim_ms = 1000
+deadline_ms = {}
+[[route]]
+name = "all"
+pool = "all"
+"#,
+        4000 + generation
+    )
+}
+
+async fn fleet(proxies: u16, seed: u64, with_routes: bool) -> Fleet {
+    let routes = with_routes.then(|| routes(1));
+    let options = Options { routes, period_ms: PERIOD_MS };
+    let fleet = Fleet::begin(&daemon(), proxies, seed, options).await.expect("it starts");
+    fleet.until_all_there().await.expect("all know all");
+    fleet
+}
+
+fn member(told: &Value, place: u16) -> &Value {
+    &told["members"][usize::from(place)]
+}
+
+/// Attempts by version that a member's record tells of, in all its pages.
+fn sent(member: &Value) -> BTreeMap<String, u64> {
+    let mut sent = BTreeMap::new();
+    for page in member["pages"].as_array().expect("reached") {
+        let digest = page["digest"].as_str().expect("a digest").to_string();
+        *sent.entry(digest).or_insert(0) += page["acts"]["sent"].as_u64().expect("a count");
+    }
+    sent.retain(|_, n| *n > 0);
+    sent
+}
+
+/// What the backend saw of a proxy, by version.
+fn seen(fleet: &Fleet, proxy: u16) -> BTreeMap<String, u64> {
+    let mut seen = BTreeMap::new();
+    for noted in fleet.noted().into_iter().filter(|n| n.proxy == proxy) {
+        *seen.entry(noted.version.expect("every attempt tells its version")).or_insert(0) += 1;
+    }
+    seen
+}
+
+#[tokio::test]
+async fn a_killed_proxy_is_gone_for_all_and_comes_back_in_a_new_life() {
+    let mut fleet = fleet(4, 1, false).await;
+    let life = |told: &Value| member(told, 2)["incarnation"]["life"].as_u64().expect("a life");
+    let before = life(&fleet.ask(0, "/fleet/members").await.expect("told"));
+    fleet.kill(2);
+    for at in [0, 1, 3] {
+        let told = fleet.until_stands(at, 2, "gone").await.expect("its death is known");
+        assert!((0..4).filter(|p| *p != 2).all(|p| member(&told, p)["standing"] == "alive"), "{told}");
+    }
+    // Nobody is left to say what it did: that is told, and not guessed.
+    let audit = fleet.ask(0, "/fleet/audit").await.expect("told");
+    assert_eq!(
+        (&member(&audit, 2)["reached"], &member(&audit, 2)["unknown_until"]),
+        (&false.into(), &Value::Null)
+    );
+    fleet.start(2).await.expect("it starts again");
+    fleet.until_all_there().await.expect("all know all");
+    let after = life(&fleet.ask(0, "/fleet/members").await.expect("told"));
+    assert!(after > before);
+    // Its record was on disk: its former life is known again, and where it is torn.
+    let told = fleet.ask(0, "/fleet/audit").await.expect("told");
+    let pages = member(&told, 2)["pages"].as_array().expect("reached").clone();
+    assert!(pages.iter().any(|p| p["life"].as_u64() == Some(before) && p["torn"] == true), "{pages:?}");
+    // With nothing kept, the loss shows as a record that begins anew.
+    fleet.kill(2);
+    fleet.forget(2).expect("its state is taken away");
+    fleet.start(2).await.expect("it starts again");
+    fleet.until_all_there().await.expect("all know all");
+    let told = fleet.ask(0, "/fleet/audit").await.expect("told");
+    let pages = member(&told, 2)["pages"].as_array().expect("reached").clone();
+    assert!(pages.iter().all(|p| p["life"].as_u64() != Some(before)), "{pages:?}");
+}
+
+/// A stalled proxy that wakes knows that it stalled, accuses nobody, and is among the others again.
+#[tokio::test]
+async fn a_stalled_proxy_wakes() {
+    let fleet = fleet(4, 2, false).await;
+    fleet.daemon(1).expect("it runs").stall().expect("stopped");
+    fleet.until_stands(0, 1, "gone").await.expect("it says nothing");
+    fleet.daemon(1).expect("it runs").wake().expect("goes on");
+    fleet.until_all_there().await.expect("all know all");
+    let told = fleet.ask(1, "/fleet/members").await.expect("told");
+    let news = told["news"].as_array().expect("a list");
+    assert!(news.iter().any(|n| n["news"]["what"] == "woke"), "{news:?}");
+    let accused = |n: &&Value| n["news"]["what"] == "suspected" && n["news"]["by"] == 1;
+    assert_eq!(news.iter().filter(accused).count(), 0, "{news:?}");
+    let audit = fleet.ask(3, "/fleet/audit").await.expect("told");
+    let spells = member(&audit, 1)["spells"].as_array().expect("reached").clone();
+    assert!(spells.iter().any(|s| s["trouble"] == "stalled"), "{spells:?}");
+}
+
+/// An audit that is asked during a cut says whom it did not reach; one that is asked after it fills the gap and contradicts nothing.
+#[tokio::test]
+async fn an_audit_during_a_cut_and_after_it() {
+    let mut fleet = fleet(4, 3, true).await;
+    for proxy in 0..4 {
+        assert_eq!(fleet.call(proxy).await, Ok(200));
+    }
+    fleet.network.cut(&[&[0, 1], &[2, 3]]);
+    fleet.until_stands(0, 2, "gone").await.expect("the other side is out of reach");
+    fleet.apply(2, &routes(2)).await.expect("a change on the other side");
+    assert_eq!(fleet.call(2).await, Ok(200));
+    let during = fleet.ask(0, "/fleet/audit").await.expect("told");
+    assert_eq!(member(&during, 1)["reached"], true);
+    let unknown = member(&during, 2);
+    assert_eq!((&unknown["reached"], &unknown["pages"]), (&false.into(), &Value::Null), "{unknown}");
+    assert!(unknown["last_acts"][0].is_string(), "what was heard last is told");
+    fleet.network.heal();
+    fleet.until_all_there().await.expect("all know all");
+    let after = fleet.ask(0, "/fleet/audit").await.expect("told");
+    for place in [0, 1] {
+        let pages = |told: &Value| {
+            let pages = member(told, place)["pages"].as_array().expect("reached").clone();
+            pages.into_iter().map(|p| (p["from"].clone(), p["digest"].clone())).collect::<Vec<_>>()
+        };
+        let (was, is) = (pages(&during), pages(&after));
+        // Another's clock is known to some milliseconds.
+        let near = |(a, b): (&(Value, Value), &(Value, Value))| {
+            let at = |v: &Value| v.as_u64().expect("a time");
+            a.1 == b.1 && at(&a.0).abs_diff(at(&b.0)) < 2000
+        };
+        assert!(was.iter().zip(&is).all(near), "{was:?} {is:?}");
+    }
+    let known = member(&after, 2);
+    assert_eq!(sent(known), seen(&fleet, 2));
+    let last = member(&during, 2)["last_acts"][0].as_str().expect("a digest").to_string();
+    assert!(sent(known).contains_key(&last), "what was heard last is in the record: {known}");
+}
+
+/// A proxy that hears and is not heard, or the other way round, accuses nobody who is there.
+#[tokio::test]
+async fn a_cut_one_way() {
+    let fleet = fleet(3, 4, false).await;
+    for other in [0, 1] {
+        fleet.network.way(other, 2, |w| w.cut = true);
+    }
+    let cut = fleet.until(2, "/fleet/members", |t| t["cut_off"] == true).await.expect("it hears nobody");
+    assert_eq!([0, 1].map(|p| member(&cut, p)["standing"].clone()), ["alive", "alive"], "{cut}");
+    let others = fleet.ask(0, "/fleet/members").await.expect("told");
+    assert_eq!(member(&others, 1)["standing"], "alive");
+    fleet.network.heal();
+    fleet.until_all_there().await.expect("all know all");
+    let audit = fleet.ask(0, "/fleet/audit").await.expect("told");
+    let spells = member(&audit, 2)["spells"].as_array().expect("reached").clone();
+    assert!(spells.iter().any(|s| s["trouble"] == "cut_off" && s["to"].is_u64()), "{spells:?}");
+}
+
+/// Changes come into force at one proxy after the other, under calls, over ways that lose, repeat and tear: every attempt that the
+/// backend saw is in the audit under the version that the backend was told, and no other.
+#[tokio::test]
+async fn the_audit_equals_what_the_backend_saw() {
+    let mut fleet = fleet(3, 5, true).await;
+    fleet.network.all(|w| {
+        (w.loss, w.twice, w.torn) = (0.2, 0.1, 0.05);
+        w.jitter = Duration::from_millis(30);
+    });
+    for round in 0..3 {
+        for proxy in 0..3 {
+            for _ in 0..5 {
+                assert_eq!(fleet.call(proxy).await, Ok(200));
+            }
+            if proxy != round {
+                fleet.apply(proxy, &routes(2 + u64::from(round))).await.expect("it is taken");
+            }
+            assert_eq!(fleet.call(proxy).await, Ok(200));
+        }
+    }
+    fleet.until_all_there().await.expect("all know all");
+    let all_reached = |t: &Value| (0..3).all(|p| member(t, p)["reached"] == true);
+    let audit = fleet.until(0, "/fleet/audit", all_reached).await.expect("told");
+    for proxy in 0..3 {
+        assert_eq!(
+            sent(member(&audit, proxy)),
+            seen(&fleet, proxy),
+            "proxy {proxy}: {}",
+            member(&audit, proxy)
+        );
+        assert!(seen(&fleet, proxy).len() >= 3, "several versions");
+    }
+    let (record, _) = fleet.network.record();
+    for fate in [Fate::Passed, Fate::Twice, Fate::Torn, Fate::Lost] {
+        assert!(record.iter().any(|m| m.fate == fate), "{fate:?} was done to none of {}", record.len());
+    }
+    assert!(record.iter().all(|m| m.fate != Fate::TooLong && m.length <= 256));
+    let mut dropped = [0, 0];
+    for proxy in 0..3 {
+        let told = fleet.ask(proxy, "/fleet/members").await.expect("told");
+        let count = |why: &str| told["traffic"]["dropped"][why].as_u64().expect("a count");
+        dropped[0] += count("torn") + count("forged");
+        dropped[1] += count("replayed");
+    }
+    assert!(dropped.iter().all(|n| *n > 0), "half messages and repeats are told apart: {dropped:?}");
+}
+
+/// Without a file of the fleet nothing is sent or read on the peers' port, and nothing is kept.
+#[tokio::test]
+async fn without_a_fleet_the_peers_port_stays_closed() {
+    let port = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    port.set_nonblocking(true).expect("it can");
+    let at = port.local_addr().expect("bound").to_string();
+    let folder = std::env::temp_dir().join(format!("heathroad-alone-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let plan = common::plan(common::SMALL, 1);
+    let classes: Vec<_> = plan.scenario.class.iter().map(|c| c.name.clone()).collect();
+    let config = serde_json::json!({
+        "listen": "127.0.0.1:0", "admin": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "1",
+        "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 256}, "peer_listen": at, "peers": [at, at],
+        "known": {"seq": 1, "whole": true, "hosts": [{"host": "b", "dial": "127.0.0.1:9", "site": "a", "class": "",
+            "block": 0, "health": "SERVING", "share": 1.0, "born_ms": 0}]},
+        "settings": {
+            "slotNo": 0, "peersTotal": 2, "tier": 0, "locality": 0, "localities": ["a"], "tick": 5.0,
+            "overShareWorth": 0.05, "discovery": "automatic", "tenants": [],
+            "classes": [{"name": classes[0], "aim": 1000.0, "points": 1.0, "semantics": "retryable", "group": "all",
+                "window": 0.0}],
+            "caps": {"cancelling": true, "retryAfter": false, "maxRetryAfter": 0.0, "tryLimit": 3, "openCap": 10,
+                "connIdle": 15_000.0, "connectTimeout": 250.0},
+            "guarantees": {"coldFrom": 0.1, "cold": 1000.0, "fallMultiple": 3.0, "stopSendingWithin": 500.0}}
+    });
+    let file = folder.join("alone.json");
+    let alone = heathroad_rehearsal::daemon::start(&daemon(), &file, &config, 256).await.expect("it starts");
+    sleep(Duration::from_millis(1500)).await;
+    let mut bytes = [0; 512];
+    let heard = port.recv_from(&mut bytes).map_err(|e| e.kind());
+    assert_eq!(heard.err(), Some(std::io::ErrorKind::WouldBlock));
+    let told = heathroad_rehearsal::daemon::get(alone.admin, "/fleet/members").await.expect("it answers");
+    assert_eq!(told.0, 404);
+    drop(alone);
+    std::fs::remove_dir_all(&folder).expect("it is there");
+}
--- a/crates/heathroad/src/backend/http.rs
+++ b/crates/heathroad/src/backend/http.rs
@@ -37,6 +37,8 @@
 pub static DEADLINE: HeaderName = HeaderName::from_static("req-deadline-ms");
 /// By which its repeats are known.
 pub static KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// By which version a request was bound, in rehearsals.
+static VERSION: HeaderName = HeaderName::from_static("req-version");
 /// A backend says by it that it has not looked at the request.
 static DECLINED: HeaderName = HeaderName::from_static("srv-declined");
 
@@ -52,6 +54,8 @@
     pub id: HeaderValue,
     /// `Idempotency-Key`.
     pub key: Option<HeaderValue>,
+    /// By which version it was bound, where backends are told.
+    pub version: Option<HeaderValue>,
     /// Its body.
     pub body: Bytes,
 }
@@ -256,6 +260,9 @@
         if let Some(key) = &self.key {
             headers.insert(&KEY, key.clone());
         }
+        if let Some(version) = &self.version {
+            headers.insert(&VERSION, version.clone());
+        }
         if self.body.is_empty() && self.method != Method::GET {
             headers.insert(header::CONTENT_LENGTH, HeaderValue::from_static("0"));
         }
--- a/crates/heathroad/src/backend/mod.rs
+++ b/crates/heathroad/src/backend/mod.rs
@@ -426,7 +426,8 @@
                 let id = HeaderValue::from_static("1");
                 let uri = Uri::from_static("/look");
                 let (method, body) = (Method::GET, Bytes::new());
-                let call = Call::Http(http::Call { method, uri, host: None, id, key: None, body });
+                let call =
+                    Call::Http(http::Call { method, uri, host: None, id, key: None, version: None, body });
                 let (line, not_past) = (Rc::<Line>::default(), Instant::now() + connect);
                 let (call, target) = (Rc::new(call), target.clone());
                 let attempt =
--- /dev/null
+++ b/crates/heathroad/src/configuration/fleet.rs
@@ -0,0 +1,97 @@
+//! The file of the fleet: its name, its key, and what this proxy does in it. Addresses are the platform's: `peer_listen` and
+//! `peers` of the daemon's own file.
+
+use heathroad_fleet::Place;
+use heathroad_fleet::fleet::Terms;
+use heathroad_fleet::seal::{MAX_KEY, Seal};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// Most members.
+const MAX_MEMBERS: usize = 10_000;
+
+/// A period of the protocol, in milliseconds.
+const PERIOD_MS: std::ops::RangeInclusive<u64> = 100..=60_000;
+
+/// What a start needs of it.
+pub struct Settings {
+    /// The fleet's name.
+    pub name: String,
+    /// Its name and key.
+    pub seal: Seal,
+    /// Where fellows are heard.
+    pub listen: SocketAddr,
+    /// Where each is reached, by its place.
+    pub addresses: Vec<SocketAddr>,
+    /// This proxy's place among them.
+    pub own: Place,
+    /// Times and bounds of the protocol.
+    pub terms: Terms,
+    /// Backends are told by which version each attempt was decided; for rehearsals.
+    pub tells_backends: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    name: String,
+    key_file: PathBuf,
+    #[serde(default)]
+    tells_backends: bool,
+    #[serde(default = "usual_period")]
+    period_ms: u64,
+}
+
+fn usual_period() -> u64 {
+    Terms::default().period
+}
+
+/// The platform's addresses, as the daemon's file has them.
+pub struct Addresses<'a> {
+    /// `peer_listen`.
+    pub listen: Option<&'a str>,
+    /// `peers`.
+    pub peers: &'a [String],
+    /// `settings.slotNo`.
+    pub own: u32,
+}
+
+/// Reads and checks a file of the fleet.
+pub fn read(path: &Path, addresses: &Addresses<'_>) -> Result<Settings, String> {
+    let file = path.display();
+    let wrong = |what: &dyn std::fmt::Display| format!("{file}: {what}");
+    let text = std::fs::read_to_string(path).map_err(|e| wrong(&e))?;
+    let read: File =
+        toml::from_str(&text).map_err(|e| wrong(&e.to_string().trim_end().replace('\n', " ")))?;
+    // A key's path is meant beside the file that names it.
+    let beside = path.parent().unwrap_or(Path::new("")).join(&read.key_file);
+    let key = std::fs::read(&beside).map_err(|e| wrong(&format!("key_file: {}: {e}", beside.display())))?;
+    let key = key.strip_suffix(b"\n").unwrap_or(&key);
+    if key.len() > MAX_KEY {
+        return Err(wrong(&format!("key_file: {}: more than {MAX_KEY} bytes", beside.display())));
+    }
+    if !PERIOD_MS.contains(&read.period_ms) {
+        let [least, most] = [PERIOD_MS.start(), PERIOD_MS.end()];
+        return Err(wrong(&format!("period_ms: {}; expected {least} to {most}", read.period_ms)));
+    }
+    let seal = Seal::new(&read.name, key).map_err(|e| wrong(&e))?;
+    let address = |name: &str, text: &str| text.parse().map_err(|e| format!("config: {name}: {text}: {e}"));
+    let listen = addresses.listen.ok_or("config: peer_listen: is missing; a fleet needs it")?;
+    let peers =
+        addresses.peers.iter().map(|p| address("peers", p)).collect::<Result<Vec<SocketAddr>, _>>()?;
+    if peers.len() > MAX_MEMBERS {
+        return Err(format!("config: peers: {}; expected {MAX_MEMBERS} at most", peers.len()));
+    }
+    let own = Place::try_from(addresses.own).ok().filter(|own| usize::from(*own) < peers.len());
+    let own = own.ok_or("config: peers: expected one address for each proxy, at its settings.slotNo")?;
+    Ok(Settings {
+        name: read.name,
+        seal,
+        listen: address("peer_listen", listen)?,
+        addresses: peers,
+        own,
+        terms: Terms::with_period(read.period_ms),
+        tells_backends: read.tells_backends,
+    })
+}
--- a/crates/heathroad/src/configuration/mod.rs
+++ b/crates/heathroad/src/configuration/mod.rs
@@ -1,11 +1,13 @@
 //! What the proxy is told at its start: the environment and the configuration file, checked.
 
 pub mod disk;
+pub mod fleet;
 pub mod gate;
 pub mod routes;
 
 use crate::budget;
 use crate::discovery::roster::Page;
+use heathroad_fleet::version::Digest;
 use serde::Deserialize;
 use std::env;
 use std::net::SocketAddr;
@@ -37,6 +39,10 @@
     pub sockets: usize,
     /// How many bytes of memory it may use.
     pub memory: usize,
+    /// This proxy's part in its fleet, if it has one.
+    pub fleet: Option<fleet::Settings>,
+    /// Tells proxies with unlike settings apart, but for what is meant to differ between copies.
+    pub digest: Digest,
     /// The list of backends as this proxy last had it.
     pub known: Option<Page>,
     /// The settings.
@@ -52,6 +58,10 @@
     routes: Option<PathBuf>,
     expectations: Option<PathBuf>,
     state: Option<PathBuf>,
+    fleet: Option<PathBuf>,
+    peer_listen: Option<String>,
+    #[serde(default)]
+    peers: Vec<String>,
     #[serde(default = "usual_probation")]
     probation_ms: u64,
     seed: String,
@@ -121,13 +131,17 @@
 fn parse(text: &[u8], named: Named) -> Result<Config, String> {
     let json = &mut serde_json::Deserializer::from_slice(text);
     let file: File = serde_path_to_error::deserialize(json).map_err(|e| format!("config: {e}"))?;
+    let digest = digest(&file.settings);
     let mut facts = settings::read(file.settings).map_err(|e| format!("config: {e}"))?;
     let site = &facts.site;
     let wrong = [
         (file.limits.sockets < MIN_SOCKETS, "limits.sockets: too few to work with"),
         (file.limits.memory_mb < MIN_MEMORY_MB, "limits.memory_mb: too little to work with"),
         (file.probation_ms > MAX_PROBATION_MS, "probation_ms: is more than an hour"),
-        (file.state.is_some() && file.routes.is_none(), "state: is of use with `routes` only"),
+        (
+            file.state.is_some() && file.routes.is_none() && file.fleet.is_none(),
+            "state: is of use with `routes` or `fleet` only",
+        ),
         (file.expectations.is_some() && file.routes.is_none(), "expectations: are of use with `routes` only"),
         (site.classes.iter().any(String::is_empty), "settings: classes: one has no name"),
         (site.tenants.iter().any(String::is_empty), "settings: tenants: one has no name"),
@@ -142,7 +156,12 @@
     }
     let budget = file.budget.map(budget::File::check).transpose().map_err(|e| format!("config: {e}"))?;
     facts.settings.worth_carried = budget.is_some();
+    let own = facts.settings.copy;
+    let addresses = fleet::Addresses { listen: file.peer_listen.as_deref(), peers: &file.peers, own };
+    let fleet = file.fleet.as_deref().map(|path| fleet::read(path, &addresses)).transpose()?;
     Ok(Config {
+        fleet,
+        digest,
         budget,
         listen: address("listen", named.listen.or(file.listen))?,
         discovery: address("discovery", named.discovery.or(file.discovery))?,
@@ -162,6 +181,15 @@
     })
 }
 
+/// Copies of one configuration differ in their number and zone, which are left out. (The order of names is not kept by JSON.)
+fn digest(settings: &serde_json::Value) -> Digest {
+    let mut common = settings.clone();
+    if let Some(settings) = common.as_object_mut() {
+        settings.retain(|name, _| name != "slotNo" && name != "locality");
+    }
+    Digest::of(common.to_string().as_bytes())
+}
+
 fn address(name: &str, text: Option<String>) -> Result<SocketAddr, String> {
     let text = text.ok_or_else(|| format!("config: {name}: is missing"))?;
     text.parse().map_err(|e| format!("config: {name}: {text}: {e}"))
--- a/crates/heathroad/src/discovery/mod.rs
+++ b/crates/heathroad/src/discovery/mod.rs
@@ -29,8 +29,8 @@
 
 /// What comes of following discovery.
 pub enum News {
-    /// A list of backends, or changes to it.
-    List(ListKind, Vec<Host>),
+    /// A list of backends, or changes to it, and its number.
+    List(ListKind, Vec<Host>, u64),
     /// A call failed where the list must be asked for.
     Failed,
 }
@@ -61,7 +61,8 @@
                 let news = page.whole || !page.hosts.is_empty();
                 if news {
                     let kind = if page.whole { ListKind::Full } else { ListKind::Delta };
-                    hear(News::List(kind, page.entries()));
+                    let seq = page.seq;
+                    hear(News::List(kind, page.entries(), seq));
                 } else if asked.elapsed() < LULL {
                     sleep(LULL).await;
                 }
@@ -165,7 +166,7 @@
         let heard = Rc::new(RefCell::new(Vec::new()));
         let hears = heard.clone();
         let hear = move |news| {
-            let News::List(kind, hosts) = news else { panic!("no call fails") };
+            let News::List(kind, hosts, _) = news else { panic!("no call fails") };
             hears.borrow_mut().push((kind, hosts[0].health));
         };
         LocalSet::new()
--- a/crates/heathroad/src/engine/mod.rs
+++ b/crates/heathroad/src/engine/mod.rs
@@ -8,9 +8,11 @@
 use crate::counts::{Counts, Final, Moment, Notice, Special};
 use crate::discovery::roster::{Health, Host};
 use crate::effort::{sleep, sleep_until, spawn_local};
+use crate::fleet::acts::{self, Acts};
 use bytes::Bytes;
 use heathroad_budget::account::Loan;
 use heathroad_budget::wire::Spent;
+use heathroad_fleet::record::Act;
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -75,6 +77,25 @@
     pub patience: Duration,
     /// What it may spend, where budgets are kept.
     pub budget: Option<OnBooks>,
+    /// The page of the record that it was bound under, where one is kept.
+    pub acts: Option<acts::Bound>,
+}
+
+impl Incoming {
+    fn act(&self, act: Act) {
+        if let Some(acts) = &self.acts {
+            acts.act(act);
+        }
+    }
+}
+
+/// What an end is on the record.
+fn act(end: Final) -> Act {
+    match end {
+        Final::Served => Act::Served,
+        Final::Refused => Act::Refused,
+        Final::Failed | Final::TimedOut | Final::Left => Act::Failed,
+    }
 }
 
 /// A final answer, and what was spent on it where the caller is to know.
@@ -127,6 +148,8 @@
     last: Option<Outcome>,
     /// What it may spend, until its last attempt has ended.
     budget: Option<OnBooks>,
+    /// The page that its attempts are written on.
+    acts: Option<acts::Bound>,
 }
 
 impl Open {
@@ -181,6 +204,8 @@
     clock: Clock,
     facts: Facts,
     counts: Counts,
+    /// What this proxy acts on, where a record is kept.
+    acts: Option<Rc<Acts>>,
     watching: watch::Sender<bool>,
     /// From when on nothing is awaited any more; set by a planned stop.
     last: Cell<Option<Instant>>,
@@ -195,6 +220,7 @@
         seed: u64,
         pool: Rc<Pool>,
         counts: Counts,
+        acts: Option<Rc<Acts>>,
         watching: watch::Sender<bool>,
     ) -> Result<Rc<Self>, SettingsError> {
         facts.settings.caps.late_ends = true;
@@ -209,7 +235,7 @@
         };
         let (state, clock, last) = (RefCell::new(state), Clock::new(), Cell::new(None));
         let closed = Cell::new(false);
-        Ok(Rc::new(Engine { state, pool, clock, facts, counts, watching, last, closed }))
+        Ok(Rc::new(Engine { state, pool, clock, facts, counts, acts, watching, last, closed }))
     }
 
     /// Whether requests can be decided: some backend takes work.
@@ -225,7 +251,8 @@
 
     /// Takes a request and waits for its one answer. Dropped before that, the caller has hung up.
     pub async fn decide(self: &Rc<Self>, incoming: Incoming) -> Told {
-        let budget = incoming.budget;
+        incoming.act(Act::Bound);
+        let budget = &incoming.budget;
         let patience = budget.as_ref().map_or(incoming.patience, |b| incoming.patience.min(b.time()));
         let (spare, worth) = budget.as_ref().map_or((None, 1.0), |b| (Some(b.left()), b.worth()));
         let limit = self
@@ -237,24 +264,28 @@
         // Its time went by while it waited for its turn on its connection: no backend works for nobody.
         if Instant::now() >= incoming.received + limit.saturating_sub(MARGIN) {
             self.counts.answered(incoming.class, incoming.tenant, Final::TimedOut);
+            incoming.act(Act::Failed);
             return (Answer::TimedOut, None);
         }
         let wait = Rc::<Wait<Told>>::default();
+        let acts = incoming.acts.clone();
         let request = {
             let s = &mut *self.state.borrow_mut();
             if s.requests.len() >= self.facts.site.open_cap {
                 self.counts.answered(incoming.class, incoming.tenant, Final::Refused);
+                incoming.act(Act::Refused);
                 return (Answer::Refused { retry_after: None }, None);
             }
             let id = s.next;
             s.next += 1;
             let call = Rc::new(incoming.call);
             let life = Life::Owed(wait.clone());
-            s.requests.insert(id, Open { call, life, attempts: Vec::new(), last: None, budget });
+            let (attempts, last, budget, acts) = (Vec::new(), None, incoming.budget, incoming.acts);
+            s.requests.insert(id, Open { call, life, attempts, last, budget, acts });
             id
         };
         let (class, tenant, received) = (incoming.class, incoming.tenant, incoming.received);
-        let mut here = Here { engine: self.clone(), request, class, tenant, answer: Final::Left };
+        let mut here = Here { engine: self.clone(), request, class, tenant, acts, answer: Final::Left };
         self.tell(Event::Request(Arrival {
             request,
             key: incoming.key,
@@ -274,6 +305,18 @@
         answer
     }
 
+    /// Counts a request that is refused before it is decided, for want of room.
+    pub fn turned_away(&self, incoming: &Incoming) {
+        self.counts.answered(incoming.class, incoming.tenant, Final::Refused);
+        incoming.act(Act::Bound);
+        incoming.act(Act::Refused);
+    }
+
+    /// What is in force now, to bind a request to, where a record is kept.
+    pub fn acts(&self) -> Option<acts::Bound> {
+        self.acts.as_ref().map(Acts::bind)
+    }
+
     /// What is counted beside the requests that are decided here.
     pub fn counts(&self) -> &Counts {
         &self.counts
@@ -474,6 +517,9 @@
         if target.born_ms > 0.0 && age < self.facts.settings.rules.cold {
             self.counts.sent_cold();
         }
+        if let Some(acts) = &open.acts {
+            acts.act(Act::Sent);
+        }
         let line = Rc::<Line>::default();
         let worth = s.balancer.worth(request);
         let lent = open.budget.as_ref().filter(|_| open.call.carries()).and_then(|b| b.lend(worth));
@@ -595,6 +641,7 @@
     request: RequestId,
     class: u16,
     tenant: u16,
+    acts: Option<acts::Bound>,
     /// What it was given; that it left, until then.
     answer: Final,
 }
@@ -602,6 +649,9 @@
 impl Drop for Here {
     fn drop(&mut self) {
         self.engine.counts.answered(self.class, self.tenant, self.answer);
+        if let Some(acts) = &self.acts {
+            acts.act(act(self.answer));
+        }
         let left = {
             let s = &mut *self.engine.state.borrow_mut();
             let open = s.requests.get_mut(&self.request);
@@ -649,7 +699,7 @@
         tasks
             .run_until(async {
                 let counts = Counts::new(&Rc::new(crate::counts::Meter::new()), "", &facts().site);
-                let engine = Engine::new(facts(), 1, Rc::new(Pool::new(limits)), counts, watching);
+                let engine = Engine::new(facts(), 1, Rc::new(Pool::new(limits)), counts, None, watching);
                 let engine = engine.expect("good settings");
                 for n in 0..100 {
                     let (old, new) = (format!("s-{n}"), format!("s-{}", n + 1));
@@ -670,6 +720,7 @@
                     host: None,
                     id: hyper::header::HeaderValue::from_static("1"),
                     key: None,
+                    version: None,
                     body: Bytes::new(),
                 };
                 let life = Life::Over;
@@ -679,6 +730,7 @@
                     attempts: vec![(id, None)],
                     last: None,
                     budget: None,
+                    acts: None,
                 };
                 engine.state.borrow_mut().requests.insert(7, open);
                 engine.list(ListKind::Full, vec![host("s-101", Health::Serving)]);
--- /dev/null
+++ b/crates/heathroad/src/fleet/acts.rs
@@ -0,0 +1,166 @@
+//! What this proxy acts on, and the record of what it did on which.
+
+use heathroad_fleet::record::{Act, Page, Record, Spell, Told, Trouble, Unix};
+use heathroad_fleet::version::{Digest, Source, Version};
+use heathroad_fleet::wire::SPOKEN;
+use hyper::header::HeaderValue;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// The page that a request was bound under, to its end.
+#[derive(Clone)]
+pub struct Bound {
+    acts: Rc<Acts>,
+    page: Rc<Page>,
+}
+
+impl Bound {
+    /// Something was done for the request.
+    pub fn act(&self, act: Act) {
+        self.page.act(act, self.acts.now());
+    }
+
+    /// What backends are told of the version, where they are.
+    pub fn header(&self) -> Option<HeaderValue> {
+        let digest = self.acts.tells_backends.then(|| self.page.digest().to_string())?;
+        HeaderValue::try_from(digest).ok()
+    }
+}
+
+/// What this proxy acts on.
+pub struct Acts {
+    version: RefCell<Version>,
+    record: RefCell<Record>,
+    page: RefCell<Rc<Page>>,
+    changed: Notify,
+    tells_backends: bool,
+    base: Unix,
+    started: Instant,
+    /// The digest and text of the routes in force, for those who ask.
+    routes: RefCell<(Digest, Rc<str>)>,
+}
+
+impl Acts {
+    /// Begins with a version without routes and lists, and with what was kept of the record from before.
+    pub fn new(settings: Digest, before: Option<Told>, tells_backends: bool) -> Rc<Acts> {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let base = u64::try_from(unix.as_millis()).unwrap_or(u64::MAX);
+        let build = env!("CARGO_PKG_VERSION").to_string();
+        let version = Version { build, protocols: SPOKEN, settings, ..Version::default() };
+        let mut record = Record::new(base, base, before);
+        let page = RefCell::new(record.begin(base, version.clone()));
+        Rc::new(Acts {
+            version: RefCell::new(version),
+            record: RefCell::new(record),
+            page,
+            changed: Notify::new(),
+            tells_backends,
+            base,
+            started: Instant::now(),
+            routes: RefCell::new((Digest::default(), "".into())),
+        })
+    }
+
+    /// Unix time in milliseconds at the start, and so this process's life.
+    pub fn life(&self) -> Unix {
+        self.base
+    }
+
+    /// Unix time in milliseconds, by a clock that only goes forward.
+    pub fn now(&self) -> Unix {
+        self.base + u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// What is in force.
+    pub fn version(&self) -> Version {
+        self.version.borrow().clone()
+    }
+
+    /// Waits until that changes.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    /// Binds a request to what is in force.
+    pub fn bind(self: &Rc<Self>) -> Bound {
+        Bound { acts: self.clone(), page: self.page.borrow().clone() }
+    }
+
+    /// A generation of routes is in force.
+    pub fn in_force(&self, number: u64, text: &str) {
+        let digest = Digest::of(text.as_bytes());
+        self.routes.replace((digest, text.into()));
+        self.change(|v| (v.generation, v.routes) = (number, digest));
+    }
+
+    /// The text of the routes with a digest, if they are in force.
+    pub fn routes(&self, digest: Digest) -> Option<Rc<str>> {
+        let routes = self.routes.borrow();
+        (routes.0 == digest && digest != Digest::default()).then(|| routes.1.clone())
+    }
+
+    /// A change of routes has come into force, or was undone.
+    pub fn act(&self, act: Act) {
+        self.page.borrow().act(act, self.now());
+    }
+
+    /// A source of backends has told a list or a change.
+    pub fn heard(&self, source: SocketAddr, seq: u64) {
+        let source = Digest::of(source.to_string().as_bytes());
+        self.change(|v| match v.sources.iter_mut().find(|s| s.source == source) {
+            Some(known) => known.seq = seq,
+            None => {
+                v.sources.push(Source { source, seq });
+                v.sources.sort_by_key(|s| s.source);
+            }
+        });
+    }
+
+    /// A source of backends is followed no longer.
+    pub fn left(&self, source: SocketAddr) {
+        let source = Digest::of(source.to_string().as_bytes());
+        self.change(|v| v.sources.retain(|s| s.source != source));
+    }
+
+    fn change(&self, by: impl FnOnce(&mut Version)) {
+        let mut version = self.version.borrow_mut();
+        by(&mut version);
+        let version = version.clone().bounded();
+        let now = self.now();
+        self.page.replace(self.record.borrow_mut().begin(now, version));
+        self.changed.notify_waiters();
+    }
+
+    /// This proxy is kept from its fellows from now on.
+    pub fn cut_off(&self) {
+        let (trouble, from) = (Trouble::CutOff, self.now());
+        self.record.borrow_mut().spell(Spell { trouble, from, to: None });
+    }
+
+    /// It hears somebody again.
+    pub fn heard_again(&self) {
+        self.record.borrow_mut().spell_over(Trouble::CutOff, self.now());
+    }
+
+    /// It did nothing for so many milliseconds until now.
+    pub fn stalled(&self, after: u64) {
+        let now = self.now();
+        let (trouble, from) = (Trouble::Stalled, now.saturating_sub(after));
+        self.record.borrow_mut().spell(Spell { trouble, from, to: Some(now) });
+    }
+
+    /// The record as it stands.
+    pub fn told(&self) -> Told {
+        self.record.borrow().told(self.now())
+    }
+
+    /// The proxy stops: nothing is in force any more.
+    pub fn close(&self) {
+        let now = self.now();
+        self.record.borrow_mut().close(now);
+    }
+}
--- /dev/null
+++ b/crates/heathroad/src/fleet/audit.rs
@@ -0,0 +1,150 @@
+//! The audit: who acted on which version, and when. What a member's own record says is told as that; of whoever is not reached,
+//! what was last heard is told, and that nothing is known beyond it.
+
+use super::Peers;
+use heathroad_fleet::Place;
+use heathroad_fleet::fleet::fetch::Unfetched;
+use heathroad_fleet::record::{Kept, Spell, Told};
+use heathroad_fleet::table::Standing;
+use heathroad_fleet::version::Digest;
+use heathroad_fleet::wire::Topic;
+use serde_json::{Value, json};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+/// A record that has not come by then is told as not reached.
+const PATIENCE: Duration = Duration::from_secs(6);
+
+/// What is asked. Times are Unix time in milliseconds by the clock of the proxy that is asked.
+#[derive(Default, Clone, Copy)]
+pub struct Ask {
+    /// Nothing that ended before.
+    pub since: Option<u64>,
+    /// Of this generation of routes alone.
+    pub version: Option<u64>,
+    /// What was in force at this time.
+    pub at: Option<u64>,
+}
+
+impl Ask {
+    /// From a request's query, such as `since=1790000000000&version=7`.
+    pub fn read(query: &str) -> Result<Ask, String> {
+        let mut ask = Ask::default();
+        for pair in query.split('&').filter(|p| !p.is_empty()) {
+            let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
+            let number = value.parse().map_err(|_| format!("{name}: {value:?}: expected a whole number"))?;
+            match name {
+                "since" => ask.since = Some(number),
+                "version" => ask.version = Some(number),
+                "at" => ask.at = Some(number),
+                _ => return Err(format!("{name}: expected since, version or at")),
+            }
+        }
+        Ok(ask)
+    }
+
+    /// Whether a page is asked for; times of the page are moved by `off` to the asker's clock.
+    fn wants(&self, kept: &Kept, at: u64, off: i64) -> bool {
+        let here = |t: u64| t.saturating_add_signed(off);
+        let end = kept.to.map_or(here(at), here).max(kept.last.map_or(0, here));
+        self.since.is_none_or(|since| end >= since)
+            && self.version.is_none_or(|v| kept.version.generation == v)
+            && self.at.is_none_or(|at| here(kept.from) <= at && end >= at)
+    }
+}
+
+/// A record and how its clock lies to this proxy's: `off` is to be added to its times, give or take `error`.
+struct Heard {
+    told: Told,
+    off: i64,
+    error: u64,
+}
+
+async fn record(peers: &Peers, of: Place) -> Result<Heard, Unfetched> {
+    let (begun, asked) = (Instant::now(), peers.acts.now());
+    let text = peers.fetch(of, Topic::Record, Digest::default(), PATIENCE).await?;
+    let told: Told = serde_json::from_slice(&text).map_err(|_| Unfetched::Spoilt)?;
+    // It was written down somewhere between the question and now.
+    let took = u64::try_from(begun.elapsed().as_millis()).unwrap_or(u64::MAX);
+    let middle = asked.saturating_add(took / 2);
+    let off = i64::try_from(i128::from(middle) - i128::from(told.at)).unwrap_or(i64::MAX);
+    Ok(Heard { told, off, error: took.div_ceil(2) })
+}
+
+fn pages(ask: &Ask, told: &Told, off: i64) -> Vec<Value> {
+    let wanted = told.pages.iter().filter(|p| ask.wants(p, told.at, off));
+    let page = |kept: &Kept| {
+        let mut page = serde_json::to_value(kept).unwrap_or_default();
+        for time in ["from", "to", "first", "last"] {
+            if let Some(t) = page[time].as_u64() {
+                page[time] = t.saturating_add_signed(off).into();
+            }
+        }
+        page
+    };
+    wanted.map(page).collect()
+}
+
+fn spells(told: &Told, off: i64) -> Vec<Value> {
+    let here = |t: u64| t.saturating_add_signed(off);
+    let spell = |s: &Spell| json!({"trouble": s.trouble, "from": here(s.from), "to": s.to.map(here)});
+    told.spells.iter().map(spell).collect()
+}
+
+fn told(ask: &Ask, told: &Told, off: i64, error: u64) -> Value {
+    let here = |t: u64| t.saturating_add_signed(off);
+    json!({
+        "reached": true, "clock_off_ms": -off, "clock_error_ms": error, "since": here(told.since), "at": here(told.at),
+        "pages": pages(ask, told, off), "lost": told.lost, "spells": spells(told, off),
+    })
+}
+
+/// Asks every member for its record.
+pub async fn audit(peers: Rc<Peers>, ask: Ask) -> Value {
+    let acts = &peers.acts;
+    let views = peers.members();
+    let mut asking = JoinSet::new();
+    let (own, standings): (Place, Vec<(Place, Standing)>) = {
+        let fleet = peers.fleet.borrow();
+        (fleet.own(), fleet.table().all().map(|(place, m)| (place, m.standing)).collect())
+    };
+    for (place, standing) in standings {
+        // Whoever is gone may be there all the same; of whoever was never heard nothing is known that could be asked for.
+        if place != own && standing != Standing::Unknown {
+            let peers = peers.clone();
+            crate::effort::spawn_in(&mut asking, async move { (place, record(&peers, place).await) });
+        }
+    }
+    let mut heard = std::collections::BTreeMap::new();
+    while let Some(one) = asking.join_next().await {
+        if let Ok((place, record)) = one {
+            heard.insert(place, record);
+        }
+    }
+    let mut members = Vec::new();
+    for view in views["members"].as_array().into_iter().flatten() {
+        let place = view["place"].as_u64().and_then(|p| Place::try_from(p).ok()).unwrap_or(Place::MAX);
+        let mut member = match heard.remove(&place) {
+            _ if place == own => told(&ask, &acts.told(), 0, 0),
+            Some(Ok(h)) => told(&ask, &h.told, h.off, h.error),
+            other => {
+                let why = match other {
+                    Some(Err(Unfetched::NotThere)) => "it keeps no record",
+                    Some(Err(Unfetched::Spoilt)) => "its record came spoilt",
+                    Some(_) => "it did not answer",
+                    None => "it was never heard",
+                };
+                // What it did since it was last heard, on which version and until when, nobody here can know.
+                json!({"reached": false, "why": why, "last_heard_ms": view["heard_ms"], "last_acts": view["acts"],
+                    "last_version": view["version"], "unknown_until": Value::Null})
+            }
+        };
+        for known in ["place", "address", "standing", "incarnation", "me"] {
+            member[known] = view[known].clone();
+        }
+        members.push(member);
+    }
+    json!({"fleet": views["fleet"], "asked": own, "at": acts.now(), "cut_off": views["cut_off"], "members": members})
+}
--- /dev/null
+++ b/crates/heathroad/src/fleet/mod.rs
@@ -0,0 +1,231 @@
+//! This proxy among its fellows: the sockets and the clock of `heathroad_fleet`, and what operators ask of it. Off unless the
+//! daemon's file names a file of the fleet.
+
+pub mod acts;
+pub mod audit;
+mod file;
+
+pub use file::read;
+
+use crate::configuration::fleet::Settings;
+use crate::effort::{sleep, sleep_until, spawn_local, timeout};
+use acts::Acts;
+use heathroad_fleet::fleet::fetch::Unfetched;
+use heathroad_fleet::fleet::{Fleet, News};
+use heathroad_fleet::version::Digest;
+use heathroad_fleet::wire::{MAX_DATAGRAM, Topic};
+use heathroad_fleet::{Millis, Place};
+use serde_json::{Value, json};
+use std::cell::RefCell;
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::sync::{Notify, oneshot};
+use tokio::time::Instant;
+
+/// Datagrams that are read in one turn, so that requests get theirs.
+const TURN: usize = 64;
+/// News that is kept to be asked for.
+const KEPT: usize = 200;
+/// Pause between two looks whether a text can be fetched, where too many are.
+const CROWDED: Duration = Duration::from_millis(20);
+
+type Waiting = oneshot::Sender<Result<Vec<u8>, Unfetched>>;
+
+/// This proxy among its fellows.
+pub struct Peers {
+    name: String,
+    fleet: RefCell<Fleet>,
+    socket: UdpSocket,
+    addresses: Vec<SocketAddr>,
+    acts: Rc<Acts>,
+    started: Instant,
+    stirred: Notify,
+    waiting: RefCell<HashMap<u32, Waiting>>,
+    news: RefCell<VecDeque<(u64, News)>>,
+    state: Option<PathBuf>,
+}
+
+impl Peers {
+    /// Opens the peers' port, and begins. The record is kept in `state`, where there is such a folder.
+    pub async fn begin(
+        settings: Settings,
+        seed: u64,
+        acts: Rc<Acts>,
+        state: Option<PathBuf>,
+    ) -> Result<Rc<Peers>, String> {
+        let Settings { name, seal, listen, addresses, own, terms, .. } = settings;
+        let socket = UdpSocket::bind(listen).await.map_err(|e| format!("fleet: {listen}: {e}"))?;
+        let members = u16::try_from(addresses.len()).map_err(|_| "fleet: too many peers".to_string())?;
+        let mut fleet = Fleet::new(0, seal, own, members, acts.life(), seed, terms);
+        fleet.act_on(acts.version());
+        let (fleet, started) = (RefCell::new(fleet), Instant::now());
+        let (stirred, waiting, news) = (Notify::new(), RefCell::default(), RefCell::default());
+        let peers =
+            Rc::new(Peers { name, fleet, socket, addresses, acts, started, stirred, waiting, news, state });
+        spawn_local(peers.clone().run());
+        if let Some(folder) = peers.state.clone() {
+            spawn_local(file::keep(folder, peers.acts.clone()));
+        }
+        Ok(peers)
+    }
+
+    fn now(&self) -> Millis {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    async fn run(self: Rc<Self>) {
+        loop {
+            let due = self.fleet.borrow().due();
+            let due = self.started + Duration::from_millis(due.min(self.now() + 60_000));
+            tokio::select! {
+                biased;
+                _ = self.socket.readable() => self.read(),
+                () = self.acts.changed() => self.fleet.borrow_mut().act_on(self.acts.version()),
+                () = self.stirred.notified() => {}
+                () = sleep_until(due) => {
+                    // What has come counts before it is said that nothing has.
+                    self.read();
+                    let now = self.now();
+                    self.fleet.borrow_mut().tick(now);
+                }
+            }
+            self.carry_out();
+        }
+    }
+
+    fn read(&self) {
+        let mut bytes = [0; MAX_DATAGRAM + 1];
+        for _ in 0..TURN {
+            // A send that was refused by some port shows here as an error; it says nothing of what lies behind it.
+            match self.socket.try_recv_from(&mut bytes) {
+                Ok((length, _)) => {
+                    let now = self.now();
+                    self.fleet.borrow_mut().receive(now, &bytes[..length]);
+                }
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return,
+                Err(_) => {}
+            }
+        }
+    }
+
+    fn carry_out(&self) {
+        let mut fleet = self.fleet.borrow_mut();
+        let asked: Vec<_> = fleet.asked().collect();
+        for one in asked {
+            let text = match one.topic {
+                Topic::Record => serde_json::to_vec(&self.acts.told()).ok(),
+                Topic::Routes => self.acts.routes(one.key).map(|t| t.as_bytes().to_vec()),
+            };
+            let now = self.now();
+            fleet.serve(now, one, text);
+        }
+        for send in fleet.sends() {
+            if let Some(to) = self.addresses.get(usize::from(send.to)) {
+                // One that can't go now is lost, as any may be.
+                let _ = self.socket.try_send_to(&send.bytes, *to);
+            }
+        }
+        for (id, text) in fleet.fetched() {
+            if let Some(waiting) = self.waiting.borrow_mut().remove(&id) {
+                // Whoever asked may have left.
+                let _ = waiting.send(text);
+            }
+        }
+        for news in fleet.news() {
+            self.tell(news);
+        }
+    }
+
+    fn tell(&self, news: News) {
+        let mut kept = self.news.borrow_mut();
+        if kept.len() == KEPT {
+            kept.pop_front();
+        }
+        kept.push_back((self.acts.now(), news));
+        drop(kept);
+        match news {
+            News::CutOff => self.acts.cut_off(),
+            News::Heard => self.acts.heard_again(),
+            News::Woke { after } => self.acts.stalled(after),
+            _ => {}
+        }
+        match news {
+            News::Up { member, life } => eprintln!("heathroad: fleet: member {member} is there, life {life}"),
+            News::Suspected { member, by } => {
+                eprintln!("heathroad: fleet: member {member} is suspected by {by}")
+            }
+            News::Refuted { member } => eprintln!("heathroad: fleet: member {member} is there after all"),
+            News::Gone { member } => eprintln!("heathroad: fleet: member {member} is gone"),
+            News::Left { member } => eprintln!("heathroad: fleet: member {member} has left"),
+            News::Reborn { life } => {
+                eprintln!("heathroad: fleet: was taken for gone, goes on in life {life}")
+            }
+            News::Woke { after } => eprintln!("heathroad: fleet: did nothing for {after} ms"),
+            News::CutOff => eprintln!("heathroad: fleet: nobody is heard"),
+            News::Heard => eprintln!("heathroad: fleet: somebody is heard again"),
+            News::Acts { .. } => {}
+        }
+    }
+
+    /// Tells others that this proxy stops, and nothing from then on.
+    pub fn leave(&self) {
+        self.acts.close();
+        if let Some(folder) = &self.state
+            && let Err(e) = file::write(folder, &self.acts.told())
+        {
+            eprintln!("heathroad: fleet: record: {}: {e}", folder.display());
+        }
+        let now = self.now();
+        self.fleet.borrow_mut().leave(now);
+        self.carry_out();
+    }
+
+    /// Fetches a text from a member, with how long it took until its first word was asked for and came.
+    async fn fetch(
+        &self,
+        to: Place,
+        topic: Topic,
+        key: Digest,
+        most: Duration,
+    ) -> Result<Vec<u8>, Unfetched> {
+        let id = loop {
+            let now = self.now();
+            let begun = self.fleet.borrow_mut().fetch(now, to, topic, key);
+            match begun {
+                Some(id) => break id,
+                None => sleep(CROWDED).await,
+            }
+        };
+        let (tell, told) = oneshot::channel();
+        self.waiting.borrow_mut().insert(id, tell);
+        self.stirred.notify_one();
+        let came = timeout(most, told).await;
+        self.waiting.borrow_mut().remove(&id);
+        came.ok().and_then(Result::ok).unwrap_or(Err(Unfetched::Silence))
+    }
+
+    /// Who is there, as JSON.
+    pub fn members(&self) -> Value {
+        let now = self.now();
+        let fleet = self.fleet.borrow();
+        let mut members: Vec<Value> = Vec::new();
+        for view in fleet.members(now) {
+            let place = usize::from(view.place);
+            let mut told = serde_json::to_value(&view).unwrap_or_default();
+            told["address"] = self.addresses.get(place).map(ToString::to_string).into();
+            told["me"] = (view.place == fleet.own()).into();
+            members.push(told);
+        }
+        let news: Vec<Value> =
+            self.news.borrow().iter().map(|(at, n)| json!({"at": at, "news": n})).collect();
+        json!({
+            "fleet": self.name, "place": fleet.own(), "at": self.acts.now(), "cut_off": fleet.cut_off(),
+            "silent_ms": fleet.silent_for(now), "doubt": fleet.doubt(), "traffic": fleet.traffic(),
+            "members": members, "news": news,
+        })
+    }
+}
--- a/crates/heathroad/src/front/http.rs
+++ b/crates/heathroad/src/front/http.rs
@@ -4,9 +4,9 @@
 use crate::backend::http::{self, DEADLINE, ID, KEY};
 use crate::backend::{Call, MAX_BODY};
 use crate::budget::{self, Books, SPENT};
-use crate::counts::Final;
 use crate::effort::{sleep, spawn_in, timeout_at};
 use crate::engine::{self, Answer, Incoming};
+use crate::fleet::acts;
 use crate::router::{Ask, Bound, Router};
 use crate::stream::Watched;
 use bytes::{Bytes, BytesMut};
@@ -179,7 +179,7 @@
                 *reply
             }
             Ok((incoming, _, bound)) if self.overrun(seat, crowded) => {
-                bound.engine.counts().answered(incoming.class, incoming.tenant, Final::Refused);
+                bound.engine.turned_away(&incoming);
                 write(Answer::Refused { retry_after: away(&self.facts) })
             }
             Ok((incoming, _held, bound)) => {
@@ -301,8 +301,11 @@
                 .map_err(|why| Box::new(looped(why)))
         };
         let budget = self.books.as_ref().map(enter).transpose()?;
-        let call = Call::Http(http::Call { method, uri, host, id, key, body });
-        Ok((Incoming { call, class, tenant, key: key_of, received, patience, budget }, held, bound))
+        let acts = bound.acts.clone();
+        let version = acts.as_ref().and_then(acts::Bound::header);
+        let call = Call::Http(http::Call { method, uri, host, id, key, version, body });
+        let incoming = Incoming { call, class, tenant, key: key_of, received, patience, budget, acts };
+        Ok((incoming, held, bound))
     }
 }
 
@@ -405,7 +408,7 @@
         let limits = Limits { connections, connect: limit, idle: limit, drain_grace: limit, may_duplicate };
         let counts = Counts::new(&Rc::new(Meter::new()), "", &facts().site);
         let (watching, _) = watch::channel(false);
-        let engine = Engine::new(facts(), 1, Rc::new(Pool::new(limits)), counts, watching);
+        let engine = Engine::new(facts(), 1, Rc::new(Pool::new(limits)), counts, None, watching);
         let router = Rc::new(Router::One(engine.expect("good settings")));
         let (connections, bodies, room) = (2 * CALLERS, 1 << 20, Rc::<Room>::default());
         let front = Front { router, facts: facts(), connections, bodies, room: room.clone(), books: None };
--- a/crates/heathroad/src/front/rpc.rs
+++ b/crates/heathroad/src/front/rpc.rs
@@ -669,7 +669,9 @@
         let budget = front.books.as_ref().map(enter).transpose()?;
         let call = rpc::Call { method: call.method_text, params: call.params, notification, way };
         let key = key.as_deref().map_or(0, engine::key);
-        Ok((Incoming { call: Outward::Rpc(call), class, tenant, key, received, patience, budget }, bound))
+        let acts = bound.acts.clone();
+        let call = Outward::Rpc(call);
+        Ok((Incoming { call, class, tenant, key, received, patience, budget, acts }, bound))
     }
 }
 
--- a/crates/heathroad/src/lib.rs
+++ b/crates/heathroad/src/lib.rs
@@ -24,6 +24,7 @@
 mod discovery;
 mod effort;
 mod engine;
+mod fleet;
 mod front;
 mod operation;
 mod router;
@@ -36,6 +37,8 @@
 use counts::{Counts, Meter};
 use discovery::News;
 use engine::{Engine, millis};
+use fleet::Peers;
+use fleet::acts::Acts;
 use front::http::Front;
 use front::{room, rpc};
 use heathroad_routing::transaction::Event;
@@ -82,21 +85,29 @@
 /// Where the lists of backends come from, and what a new configuration changes of that.
 enum Lists {
     /// One pool, that of the settings, follows one address.
-    One { engine: Rc<Engine>, must_ask: bool, wanted: watch::Receiver<bool>, following: JoinHandle<()> },
+    One {
+        engine: Rc<Engine>,
+        must_ask: bool,
+        wanted: watch::Receiver<bool>,
+        following: JoinHandle<()>,
+        address: SocketAddr,
+        acts: Option<Rc<Acts>>,
+    },
     /// Pools by routes follow their own.
     Routes(Rc<Many>),
 }
 
-fn one_pool(config: &mut Config, pool: &Rc<Pool>) -> Result<Lists, String> {
+fn one_pool(config: &mut Config, pool: &Rc<Pool>, acts: Option<Rc<Acts>>) -> Result<Lists, String> {
     let (watching, wanted) = watch::channel(false);
     let must_ask = config.facts.settings.must_ask;
     let counts = Counts::new(&Rc::new(Meter::new()), "", &config.facts.site);
-    let engine = Engine::new(config.facts.clone(), config.seed, pool.clone(), counts, watching);
+    let engine = Engine::new(config.facts.clone(), config.seed, pool.clone(), counts, acts.clone(), watching);
     let engine = engine.map_err(|e| e.to_string())?;
     let known = config.known.take().map(|page| page.entries()).unwrap_or_default();
     engine.list(ListKind::Cached, known);
-    let following = follow(&engine, config.discovery, must_ask, &wanted);
-    Ok(Lists::One { engine, must_ask, wanted, following })
+    let following = follow(&engine, config.discovery, must_ask, &wanted, acts.clone());
+    let address = config.discovery;
+    Ok(Lists::One { engine, must_ask, wanted, following, address, acts })
 }
 
 /// Differs between processes: loans are known by numbers that no two proxies should give.
@@ -109,10 +120,16 @@
     address: SocketAddr,
     must_ask: bool,
     wanted: &watch::Receiver<bool>,
+    acts: Option<Rc<Acts>>,
 ) -> JoinHandle<()> {
     let engine = engine.clone();
     let hear = move |news| match news {
-        News::List(kind, hosts) => engine.list(kind, hosts),
+        News::List(kind, hosts, seq) => {
+            if let Some(acts) = &acts {
+                acts.heard(address, seq);
+            }
+            engine.list(kind, hosts);
+        }
         News::Failed => engine.list_failed(),
     };
     spawn_local(discovery::follow(hear, address, must_ask, wanted.clone()))
@@ -123,11 +140,15 @@
         let address = config.discovery;
         eprintln!("heathroad: configuration read again, discovery at {address}");
         match self {
-            Lists::One { engine, must_ask, wanted, following } => {
+            Lists::One { engine, must_ask, wanted, following, address: old, acts } => {
                 // The old watch ends at once, with its connection and its version: the new address is asked for the
                 // whole list.
                 following.abort();
-                *following = follow(engine, address, *must_ask, wanted);
+                *following = follow(engine, address, *must_ask, wanted, acts.clone());
+                let old = std::mem::replace(old, address);
+                if let Some(acts) = acts.as_ref().filter(|_| old != address) {
+                    acts.left(old);
+                }
             }
             Lists::Routes(many) => {
                 many.move_registry(address);
@@ -144,7 +165,14 @@
     let mut reloaded = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     // Each request in work holds a connection on either side; kept ones fill what is left.
     let admin = if config.admin.is_some() { 1 + admin::CONNECTIONS } else { 0 };
-    let usable = config.sockets - RESERVED - admin;
+    let usable = config.sockets - RESERVED - admin - usize::from(config.fleet.is_some());
+    let acts = config.fleet.as_ref().map(|fleet| {
+        let before = config.state.as_deref().map(fleet::read).transpose().unwrap_or_else(|e| {
+            eprintln!("heathroad: fleet: record: {e}");
+            None
+        });
+        Acts::new(config.digest, before.flatten(), fleet.tells_backends)
+    });
     let site = &config.facts.site;
     let pool = Rc::new(Pool::new(backend::Limits {
         connections: usable / 2,
@@ -158,19 +186,23 @@
     let bound = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
     let (facts, descriptors) = (config.facts.clone(), config.sockets);
     let mut source = match &config.routes {
-        None => one_pool(&mut config, &pool)?,
-        Some(file) => Lists::Routes(routed::start(file, &config, &pool)?),
+        None => one_pool(&mut config, &pool, acts.clone())?,
+        Some(file) => Lists::Routes(routed::start(file, &config, &pool, acts.clone())?),
     };
     let router = Rc::new(match &source {
         Lists::One { engine, .. } => Router::One(engine.clone()),
         Lists::Routes(many) => Router::Many(many.clone()),
     });
+    let peers = match config.fleet.take().zip(acts) {
+        Some((fleet, acts)) => Some(Peers::begin(fleet, config.seed, acts, config.state.clone()).await?),
+        None => None,
+    };
     eprintln!("heathroad: listening on {bound}");
     if let Some(address) = config.admin {
         let listener = TcpListener::bind(address).await.map_err(|e| format!("admin: {address}: {e}"))?;
         let bound = listener.local_addr().map_err(|e| format!("admin: {e}"))?;
         eprintln!("heathroad: admin on {bound}");
-        spawn_local(admin::serve(listener, router.clone(), descriptors));
+        spawn_local(admin::serve(listener, router.clone(), peers.clone(), descriptors));
     }
     let kept = router.clone();
     spawn_local(async move {
@@ -225,6 +257,9 @@
         serving.await
     });
     let ended = ended.await;
+    if let Some(peers) = peers {
+        peers.leave();
+    }
     // Whoever reads standard output may be gone; that is no reason to end otherwise.
     let _ = writeln!(std::io::stdout(), "{}", router.counts_json(descriptors));
     ended.map_or(Ok(()), |served| served.map_err(|e| format!("front: {e}")))
--- a/crates/heathroad/src/operation/admin.rs
+++ b/crates/heathroad/src/operation/admin.rs
@@ -2,6 +2,8 @@
 //! there are routes, changing them.
 
 use crate::effort::{sleep, spawn_local, timeout};
+use crate::fleet::Peers;
+use crate::fleet::audit::{self, Ask};
 use crate::router::Router;
 use crate::router::change::words;
 use bytes::Bytes;
@@ -33,7 +35,7 @@
 type Reply = Response<Full<Bytes>>;
 
 /// Answers for ever.
-pub async fn serve(listener: TcpListener, router: Rc<Router>, descriptors: usize) {
+pub async fn serve(listener: TcpListener, router: Rc<Router>, peers: Option<Rc<Peers>>, descriptors: usize) {
     let places = Arc::new(Semaphore::new(CONNECTIONS));
     loop {
         let Ok(place) = places.clone().acquire_owned().await else { return };
@@ -41,11 +43,16 @@
             sleep(STARVED).await;
             continue;
         };
-        let router = router.clone();
+        let (router, peers) = (router.clone(), peers.clone());
         spawn_local(async move {
             let _place = place;
-            let service =
-                service_fn(async |request| Ok::<_, Infallible>(answer(&router, descriptors, request).await));
+            let service = service_fn(async |request: Request<Incoming>| {
+                let reply = match request.uri().path().starts_with("/fleet/") {
+                    true => fleet(peers.as_ref(), &request).await,
+                    false => answer(&router, descriptors, request).await,
+                };
+                Ok::<_, Infallible>(reply)
+            });
             let connection =
                 http1::Builder::new().max_buf_size(MAX_HEAD).serve_connection(TokioIo::new(stream), service);
             // However it ends, nothing is owed to anybody.
@@ -54,6 +61,28 @@
     }
 }
 
+/// What is asked of the fleet.
+async fn fleet(peers: Option<&Rc<Peers>>, request: &Request<Incoming>) -> Reply {
+    let Some(peers) = peers else {
+        let why = "no fleet: the daemon's file names none";
+        return said(StatusCode::NOT_FOUND, TEXT, why.into());
+    };
+    if request.method() != Method::GET {
+        let mut reply = plain(StatusCode::METHOD_NOT_ALLOWED);
+        reply.headers_mut().insert(ALLOW, HeaderValue::from_static("GET"));
+        return reply;
+    }
+    let told = match request.uri().path() {
+        "/fleet/members" => peers.members(),
+        "/fleet/audit" => match Ask::read(request.uri().query().unwrap_or_default()) {
+            Ok(ask) => audit::audit(peers.clone(), ask).await,
+            Err(wrong) => return said(StatusCode::BAD_REQUEST, TEXT, wrong),
+        },
+        _ => return plain(StatusCode::NOT_FOUND),
+    };
+    said(StatusCode::OK, "application/json", told.to_string())
+}
+
 async fn answer(router: &Router, descriptors: usize, request: Request<Incoming>) -> Reply {
     let (head, body) = request.into_parts();
     let (get, path) = (head.method == Method::GET, head.uri.path());
--- a/crates/heathroad/src/operation/cli.rs
+++ b/crates/heathroad/src/operation/cli.rs
@@ -88,6 +88,9 @@
         #[arg(long, default_value_t = usize::MAX, hide_default_value = true)]
         at_once: usize,
     },
+    /// Say what the proxies of a fleet know of each other, asked of any one of them.
+    #[command(subcommand)]
+    Fleet(Fleet),
     /// Say in words which requests move where between two files of routes and pools.
     Diff {
         /// The file in force.
@@ -96,3 +99,45 @@
         to: PathBuf,
     },
 }
+
+/// What is asked of a fleet.
+#[derive(Subcommand)]
+pub enum Fleet {
+    /// Say who is there, suspected or gone, and what each acts on.
+    Members {
+        #[command(flatten)]
+        how: How,
+    },
+    /// Say which versions are acted on, and by whom.
+    Versions {
+        #[command(flatten)]
+        how: How,
+    },
+    /// Say who acted on which version and when, by each member's own record, and where nothing can be known.
+    Audit {
+        #[command(flatten)]
+        how: How,
+        /// Leave out what ended before: Unix time in milliseconds, or how long ago, such as 90s, 5m, 2h.
+        #[arg(long)]
+        since: Option<String>,
+        /// Of this generation of routes alone.
+        #[arg(long, value_name = "NUMBER")]
+        version: Option<u64>,
+        /// What was in force at a time, given as with --since.
+        #[arg(long)]
+        at: Option<String>,
+        /// Draw it into an SVG file: one lane a proxy.
+        #[arg(long, value_name = "FILE")]
+        picture: Option<PathBuf>,
+    },
+}
+
+/// How a question is asked and answered.
+#[derive(clap::Args)]
+pub struct How {
+    #[command(flatten)]
+    pub at: At,
+    /// Answer in JSON.
+    #[arg(long)]
+    pub json: bool,
+}
--- a/crates/heathroad/src/operation/commands.rs
+++ b/crates/heathroad/src/operation/commands.rs
@@ -1,7 +1,7 @@
 //! What the program does beside running: looks at files, and calls to a running daemon.
 
 use super::cli::{Cli, Command};
-use super::{expect, remote};
+use super::{expect, fleet, remote};
 use crate::configuration::{self as config, routes};
 use clap::Parser;
 use hyper::Method;
@@ -22,6 +22,7 @@
         Some(Command::Drains { with, node, site, at_once }) => {
             (told(expect::plan(&with, &node, &site, at_once)), ExitCode::from(BAD_INPUT))
         }
+        Some(Command::Fleet(ask)) => (fleet::ask(&ask).and_then(|text| say(&text)), ExitCode::FAILURE),
         Some(Command::Diff { from, to }) => (diff(&from, &to), ExitCode::from(BAD_INPUT)),
         Some(Command::Apply { file, at }) => (apply(&file, at.admin), ExitCode::FAILURE),
         Some(Command::Status { at }) => (ask(at.admin, Method::GET, "/config/status"), ExitCode::FAILURE),
--- /dev/null
+++ b/crates/heathroad/src/operation/fleet.rs
@@ -0,0 +1,230 @@
+//! What a fleet is asked on the command line, and its answers as text.
+
+use super::cli::{Fleet, How};
+use super::{lanes, remote};
+use hyper::Method;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Asks, and words the answer.
+pub fn ask(ask: &Fleet) -> Result<String, String> {
+    match ask {
+        Fleet::Members { how } => told(how, "/fleet/members", members),
+        Fleet::Versions { how } => told(how, "/fleet/members", versions),
+        Fleet::Audit { how, since, version, at, picture } => {
+            let mut path = "/fleet/audit?".to_string();
+            let times = [("since", since), ("at", at)];
+            for (name, text) in times.into_iter().filter_map(|(name, text)| Some((name, text.as_ref()?))) {
+                let _ = write!(path, "{name}={}&", time(text).map_err(|e| format!("--{name}: {e}"))?);
+            }
+            if let Some(version) = version {
+                let _ = write!(path, "version={version}");
+            }
+            let text = get(how, &path)?;
+            let answer = json(&text)?;
+            if let Some(file) = picture {
+                std::fs::write(file, lanes::draw(&answer)).map_err(|e| format!("{}: {e}", file.display()))?;
+            }
+            Ok(if how.json { text } else { audit(&answer) })
+        }
+    }
+}
+
+fn get(how: &How, path: &str) -> Result<String, String> {
+    remote::call(how.at.admin, Method::GET, path, String::new())
+}
+
+fn json(text: &str) -> Result<Value, String> {
+    serde_json::from_str(text).map_err(|e| format!("the answer: {e}"))
+}
+
+fn told(how: &How, path: &str, words: fn(&Value) -> String) -> Result<String, String> {
+    let text = get(how, path)?;
+    if how.json { Ok(text) } else { json(&text).map(|v| words(&v)) }
+}
+
+/// Unix time in milliseconds, from that or from how long ago.
+fn time(text: &str) -> Result<u64, String> {
+    let wrong =
+        || format!("{text:?}: expected Unix time in milliseconds, or how long ago, such as 90s, 5m, 2h");
+    let (digits, unit) = match text.char_indices().find(|(_, c)| !c.is_ascii_digit()) {
+        Some((at, _)) => text.split_at(at),
+        None => (text, ""),
+    };
+    let number: u64 = digits.parse().map_err(|_| wrong())?;
+    let seconds = match unit {
+        "" => return Ok(number),
+        "s" => 1,
+        "m" => 60,
+        "h" => 3600,
+        _ => return Err(wrong()),
+    };
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+    let ago = u128::from(number) * seconds * 1000;
+    u64::try_from(now.saturating_sub(ago)).map_err(|_| wrong())
+}
+
+/// A time span, in the unit that suits it.
+fn span(ms: &Value) -> String {
+    match ms.as_u64() {
+        None => "never".into(),
+        Some(ms) if ms < 10_000 => format!("{:.1} s", ms as f64 / 1000.0),
+        Some(ms) if ms < 600_000 => format!("{} s", ms / 1000),
+        Some(ms) if ms < 36_000_000 => format!("{} min", ms / 60_000),
+        Some(ms) => format!("{} h", ms / 3_600_000),
+    }
+}
+
+fn text(value: &Value) -> &str {
+    value.as_str().unwrap_or("-")
+}
+
+/// A version in a few words; its digest where no more was told.
+pub fn version(version: &Value, digest: &str) -> String {
+    if !version.is_object() {
+        return format!("digest {digest}");
+    }
+    let generation = match version["generation"].as_u64() {
+        Some(0) | None => "no routes".into(),
+        Some(n) => format!("routes {n} ({})", text(&version["routes"])),
+    };
+    let lists: Vec<String> =
+        version["sources"].as_array().into_iter().flatten().map(|s| s["seq"].to_string()).collect();
+    let lists = if lists.is_empty() { String::new() } else { format!(", lists {}", lists.join(" ")) };
+    format!(
+        "program {}, settings {}, {generation}{lists}",
+        text(&version["build"]),
+        text(&version["settings"])
+    )
+}
+
+fn rows(answer: &Value) -> impl Iterator<Item = &Value> {
+    answer["members"].as_array().into_iter().flatten()
+}
+
+fn heading(answer: &Value, asked: &Value) -> String {
+    let alone = if answer["cut_off"] == true { "; IT HEARS NOBODY" } else { "" };
+    format!("fleet {}, asked of member {asked}{alone}", text(&answer["fleet"]))
+}
+
+fn members(answer: &Value) -> String {
+    let mut out = heading(answer, &answer["place"]);
+    for m in rows(answer) {
+        let me = if m["me"] == true { " (asked)" } else { "" };
+        let heard =
+            if m["me"] == true { String::new() } else { format!(", heard {} ago", span(&m["heard_ms"])) };
+        let acts = match m["acts"][0].as_str() {
+            Some(digest) => format!("; {}", version(&m["version"], digest)),
+            None => String::new(),
+        };
+        let by: Vec<String> = m["accusers"].as_array().into_iter().flatten().map(Value::to_string).collect();
+        let by = if by.is_empty() { String::new() } else { format!(" by {}", by.join(", ")) };
+        // Writing to text does not fail.
+        let _ = write!(
+            out,
+            "\n{:>4}  {:<21} {}{by} for {}{heard}{acts}{me}",
+            m["place"],
+            text(&m["address"]),
+            text(&m["standing"]),
+            span(&m["for_ms"]),
+        );
+    }
+    out
+}
+
+fn versions(answer: &Value) -> String {
+    let mut by: BTreeMap<&str, (Vec<String>, &Value)> = BTreeMap::new();
+    for m in rows(answer) {
+        if let Some(digest) = m["acts"][0].as_str() {
+            let over = matches!(m["standing"].as_str(), Some("gone" | "left"));
+            let who = if over {
+                format!("{} ({})", m["place"], text(&m["standing"]))
+            } else {
+                m["place"].to_string()
+            };
+            let entry = by.entry(digest).or_insert((Vec::new(), &m["version"]));
+            entry.0.push(who);
+        }
+    }
+    let mut out = heading(answer, &answer["place"]);
+    for (digest, (who, whole)) in by {
+        let _ = write!(out, "\n{digest}  {}\n      members {}", version(whole, digest), who.join(", "));
+    }
+    out
+}
+
+fn audit(answer: &Value) -> String {
+    let mut out = heading(answer, &answer["asked"]);
+    let at = answer["at"].as_u64().unwrap_or(0);
+    let ago = |t: &Value| match t.as_u64() {
+        Some(t) => format!("{} ago", span(&at.saturating_sub(t).into())),
+        None => "now".into(),
+    };
+    for m in rows(answer) {
+        let _ = write!(out, "\nmember {} {}, {}", m["place"], text(&m["address"]), text(&m["standing"]));
+        if m["reached"] != true {
+            let last = match m["last_acts"][0].as_str() {
+                Some(digest) => {
+                    format!("when last heard it acted on {}", version(&m["last_version"], digest))
+                }
+                None => "nothing was ever heard of what it acts on".into(),
+            };
+            let _ = write!(
+                out,
+                "\n    NOT KNOWN: {}; heard {} ago; {last}; what it did since is not known",
+                text(&m["why"]),
+                span(&m["last_heard_ms"])
+            );
+            continue;
+        }
+        let _ = write!(out, ", clock off by {} ms (give or take {})", m["clock_off_ms"], m["clock_error_ms"]);
+        let _ = write!(out, "\n    on record since {}", ago(&m["since"]));
+        if m["lost"]["pages"].as_u64().is_some_and(|n| n > 0) {
+            let _ = write!(out, "; LOST {} pages, until {}", m["lost"]["pages"], ago(&m["lost"]["until"]));
+        }
+        for p in m["pages"].as_array().into_iter().flatten() {
+            let digest = text(&p["digest"]);
+            let a = &p["acts"];
+            let several = match p["versions"].as_u64() {
+                Some(n) if n > 1 => format!(" ({n} versions that differ in lists)"),
+                _ => String::new(),
+            };
+            let torn =
+                if p["torn"] == true { "; ended without a word, what it did after is not known" } else { "" };
+            let _ = write!(
+                out,
+                "\n    {} to {}: {}{several}: bound {}, sent {}, served {}, refused {}, failed {}{torn}",
+                ago(&p["from"]),
+                ago(&p["to"]),
+                version(&p["version"], digest),
+                a["bound"],
+                a["sent"],
+                a["served"],
+                a["refused"],
+                a["failed"]
+            );
+        }
+        for s in m["spells"].as_array().into_iter().flatten() {
+            let what = if s["trouble"] == "cut_off" { "heard nobody" } else { "did nothing" };
+            let _ = write!(out, "\n    {} to {}: {what}", ago(&s["from"]), ago(&s["to"]));
+        }
+    }
+    out
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn times_are_unix_or_ago() {
+        assert_eq!(time("1790000000000"), Ok(1_790_000_000_000));
+        let [minute, hour] = ["60s", "1h"].map(|t| time(t).expect("good"));
+        assert!((minute - hour).abs_diff(3_540_000) < 10_000);
+        for wrong in ["", "s", "5d", "-3", "1.5h"] {
+            assert!(time(wrong).is_err(), "{wrong}");
+        }
+    }
+}
--- a/crates/heathroad/src/operation/mod.rs
+++ b/crates/heathroad/src/operation/mod.rs
@@ -4,4 +4,6 @@
 mod cli;
 pub mod commands;
 mod expect;
+mod fleet;
+mod lanes;
 mod remote;
--- a/crates/heathroad/src/router/change.rs
+++ b/crates/heathroad/src/router/change.rs
@@ -7,6 +7,7 @@
 use crate::effort::{sleep, spawn_local, timeout};
 use crate::engine::Engine;
 use heathroad_expect::{Here, Report};
+use heathroad_fleet::record::Act;
 use heathroad_routing::generation::Generation;
 use heathroad_routing::harm::Sample;
 use heathroad_routing::journal::Record;
@@ -67,6 +68,13 @@
                 }
                 Step::Retire(_) => {}
                 Step::Say(told) => {
+                    if let Some(acts) = &self.base.acts {
+                        match told {
+                            Said::Applied(_) => acts.act(Act::Applied),
+                            Said::Undone { .. } => acts.act(Act::Undone),
+                            _ => {}
+                        }
+                    }
                     self.tell(words(&told));
                     said.push(told);
                 }
--- a/crates/heathroad/src/router/many.rs
+++ b/crates/heathroad/src/router/many.rs
@@ -10,6 +10,7 @@
 use crate::discovery::roster::Host;
 use crate::effort::{sleep, spawn_local};
 use crate::engine::Engine;
+use crate::fleet::acts::Acts;
 use heathroad_routing::condition::Request;
 use heathroad_routing::file::{self, Group, Listener, Pool, Source};
 use heathroad_routing::generation::Generation;
@@ -82,6 +83,8 @@
     pub gate: Option<Gate>,
     /// Where the daemon listens for HTTP, as it was told.
     pub listens: SocketAddr,
+    /// What this proxy acts on, where a record is kept.
+    pub acts: Option<Rc<Acts>>,
 }
 
 /// Pools by routes, changed by transactions.
@@ -243,7 +246,8 @@
         // What a registry is asked for is decided here, not by a pool's module.
         let (watching, _) = watch::channel(false);
         let seed = self.base.seed ^ hash(key.as_bytes());
-        let engine = Engine::new(facts, seed, self.base.connections.clone(), counts, watching);
+        let engine =
+            Engine::new(facts, seed, self.base.connections.clone(), counts, self.base.acts.clone(), watching);
         let engine = engine.map_err(|e| format!("pool {}: {e}", pool.name))?;
         self.all.borrow_mut().push(Rc::downgrade(&engine));
         self.hand_over(&engine, pool);
@@ -292,6 +296,9 @@
         let runs = generation.config.pools.iter().map(|p| self.run(p)).collect::<Result<Vec<_>, _>>()?;
         let classes = runs.iter().flat_map(|r| &r.pool.classes).map(|c| c.name.clone()).collect();
         self.current.replace(Rc::new(Active { generation: generation.clone(), runs, classes }));
+        if let Some(acts) = &self.base.acts {
+            acts.in_force(generation.number, &generation.text);
+        }
         self.share_cold();
         self.doors_changed.send_replace(());
         Ok(())
@@ -327,6 +334,9 @@
             let stays = asked.contains(address);
             if !stays {
                 registry.following.abort();
+                if let Some(acts) = &self.base.acts {
+                    acts.left(*address);
+                }
             }
             stays
         });
--- a/crates/heathroad/src/router/mod.rs
+++ b/crates/heathroad/src/router/mod.rs
@@ -10,6 +10,7 @@
 use crate::backend::rpc::Way;
 use crate::counts::{Meter, Moment};
 use crate::engine::Engine;
+use crate::fleet::acts;
 use heathroad_routing::generation::Generation;
 use hyper::StatusCode;
 use hyper::header::HeaderMap;
@@ -50,6 +51,8 @@
     pub deadline: Option<Duration>,
     /// How the pool's backends are called remotely, where they can be.
     pub way: Option<Way>,
+    /// The page of the record that it is written on, where one is kept.
+    pub acts: Option<acts::Bound>,
     /// Keeps the generation and the pool that it was taken under.
     _held: Option<(Rc<Generation>, Rc<PoolRun>)>,
 }
@@ -72,6 +75,7 @@
         effect,
         deadline: None,
         way: None,
+        acts: engine.acts(),
         _held: None,
     })
 }
--- a/crates/heathroad/src/router/registry.rs
+++ b/crates/heathroad/src/router/registry.rs
@@ -50,7 +50,15 @@
     }
 
     pub(super) fn hear(self: &Rc<Self>, from: SocketAddr, news: News) {
-        let News::List(kind, hosts) = news else { return };
+        let News::List(kind, hosts, seq) = news else { return };
+        if let Some(acts) = &self.base.acts {
+            acts.heard(from, seq);
+        }
+        self.retell(from, kind, hosts);
+    }
+
+    /// Tells pools what a registry has told.
+    fn retell(self: &Rc<Self>, from: SocketAddr, kind: ListKind, hosts: Vec<Host>) {
         self.news.set(self.news.get() + 1);
         let mut changed = BTreeSet::new();
         // Hosts whose labels change, as they were told before and now.
@@ -150,7 +158,7 @@
         let known = self.registries.borrow().get(&to).map(|r| r.hosts.values().cloned().collect());
         match known {
             // Some pool follows it already.
-            Some(hosts) => self.hear(to, News::List(ListKind::Full, hosts)),
+            Some(hosts) => self.retell(to, ListKind::Full, hosts),
             None => self.follow(to),
         }
         self.tidy();
--- a/crates/heathroad/src/router/start.rs
+++ b/crates/heathroad/src/router/start.rs
@@ -6,6 +6,7 @@
 use crate::configuration::disk::Folder;
 use crate::configuration::gate::{self, Gate};
 use crate::configuration::routes::{numbered, rounds};
+use crate::fleet::acts::Acts;
 use heathroad_routing::generation::Generation;
 use heathroad_routing::journal::{Journal, OpenError, Record};
 use heathroad_routing::transaction::Terms;
@@ -13,7 +14,12 @@
 use std::rc::Rc;
 
 /// Begins with the last committed generation, where one is kept; else with the file.
-pub fn start(file: &Path, config: &Config, connections: &Rc<Pool>) -> Result<Rc<Many>, String> {
+pub fn start(
+    file: &Path,
+    config: &Config,
+    connections: &Rc<Pool>,
+    acts: Option<Rc<Acts>>,
+) -> Result<Rc<Many>, String> {
     let (mut journal, mut highest, mut first) = (None, 1, None);
     if let Some(folder) = &config.state {
         let place = folder.display();
@@ -78,6 +84,7 @@
         terms: Terms { probation, judged: gate.is_some(), ..Terms::default() },
         gate,
         listens: config.listen,
+        acts,
     };
     Many::new(base, first, highest, journal)
 }
