--- a/crates/heathroad-fleet/src/fleet/mod.rs
+++ b/crates/heathroad-fleet/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 use crate::seal::{Dropped, Seal};
 use crate::table::{Acts, Claim, Incarnation, Member, Merged, Standing, Table};
 use crate::version::{Digest, Version};
+use crate::want::{Want, Wanted};
 use crate::wire::{self, Head, Kind, MAX_DATAGRAM, SEAL, SPOKEN, Writer};
 use crate::{Millis, Place};
 use fetch::{Asked, Fetch, Served, Unfetched};
@@ -132,6 +133,20 @@
         /// Milliseconds.
         after: Millis,
     },
+    /// All are to act on another generation of routes.
+    Wanted {
+        /// Its number.
+        number: u64,
+        /// The digest of its text.
+        digest: Digest,
+    },
+    /// Two texts were committed under one number.
+    Conflict {
+        /// The number.
+        number: u64,
+        /// Their digests.
+        digests: [Digest; 2],
+    },
     /// This proxy hears nobody.
     CutOff,
     /// It hears somebody again.
@@ -210,6 +225,7 @@
     served: VecDeque<Served>,
     /// When somebody was last heard, by this proxy's clock.
     heard: Millis,
+    confirmed: Option<Millis>,
     cut_off: bool,
     stopped: bool,
     traffic: Traffic,
@@ -257,6 +273,7 @@
             next_period: first,
             next_gossip: first,
             heard: now,
+            confirmed: None,
             cut_off: false,
             stopped: false,
             traffic: Traffic::default(),
@@ -344,6 +361,39 @@
         self.own
     }
 
+    /// A generation was committed here, and is required of all within a time, if that is said.
+    pub fn want(&mut self, now: Millis, number: u64, digest: Digest, within: Option<Millis>) {
+        let required = within.map(|within| now.saturating_add(within));
+        self.wanted(Wanted::One(Want { number, digest, by: self.own, required }));
+    }
+
+    fn wanted(&mut self, other: Wanted) {
+        if self.table.want(other) {
+            self.gossip.news(Topic::Wanted);
+            match self.table.wanted() {
+                Wanted::One(w) => self.tell(News::Wanted { number: w.number, digest: w.digest }),
+                Wanted::Both(c) => self.tell(News::Conflict { number: c.number, digests: c.digests }),
+                Wanted::Nothing => {}
+            }
+        }
+    }
+
+    /// A member that is there and acts on routes with a digest, by chance: where their text can be fetched.
+    pub fn source_of(&mut self, routes: Digest) -> Option<Place> {
+        let all: Vec<Place> = self.table.acting_on(routes).filter(|p| *p != self.own).collect();
+        (!all.is_empty()).then(|| all[self.rng.usize(0..all.len())])
+    }
+
+    /// When a question was begun that was answered since: all that the answerer knew then is known here.
+    pub fn confirmed(&self) -> Option<Millis> {
+        self.confirmed
+    }
+
+    /// Whether more than half of the fleet's places are there, as far as is known.
+    pub fn majority(&self) -> bool {
+        2 * self.table.present() > usize::from(self.table.places())
+    }
+
     /// This proxy's present incarnation.
     pub fn incarnation(&self) -> Incarnation {
         self.me
@@ -471,11 +521,12 @@
         }
         self.gossip.news(Topic::Standing(member));
         let (least, most) = self.suspicion();
-        let enough = self.terms.accusers.max(1);
+        // No more can accuse than are there beside the two.
+        let enough = self.terms.accusers.min(self.table.present().saturating_sub(2));
         if let Some(s) = self.table.get_mut(member).and_then(|m| m.suspicion.as_mut()) {
             // Lifeguard: each further accuser, up to enough, shortens the wait.
             let further = s.accusers.len().saturating_sub(1).min(enough) as f64;
-            let share = (further + 1.0).ln() / (enough as f64 + 1.0).ln();
+            let share = if enough == 0 { 1.0 } else { (further + 1.0).ln() / (enough as f64 + 1.0).ln() };
             s.until = s.since + (most as f64 - (most - least) as f64 * share) as u64;
         }
     }
@@ -531,7 +582,7 @@
 
     /// Sends a datagram with what news there is room for.
     fn send(&mut self, now: Millis, to: Place, kind: Kind) {
-        let items = self.gossip.items(&self.table, to);
+        let items = self.gossip.items(&self.table, to, now);
         let plain: Vec<wire::Item> = items.iter().map(|(_, item)| item.clone()).collect();
         let life = self.table.get(to).map_or(0, |m| m.incarnation.life);
         if let Some(written) = self.put(now, to, life, kind, &plain) {
--- a/crates/heathroad-fleet/src/fleet/probe.rs
+++ b/crates/heathroad-fleet/src/fleet/probe.rs
@@ -13,6 +13,7 @@
     /// When others are asked; none once they were.
     help_at: Option<Millis>,
     ends: Millis,
+    pub(super) begun: Millis,
     /// Helpers that were asked, and have said that they heard nothing either.
     pub(super) helpers: u8,
     pub(super) nacks: u8,
@@ -74,6 +75,7 @@
             nonce,
             help_at: Some(now + self.terms.answer * factor),
             ends: now + self.terms.period * factor,
+            begun: now,
             helpers: 0,
             nacks: 0,
             answered: false,
--- a/crates/heathroad-fleet/src/fleet/receive.rs
+++ b/crates/heathroad-fleet/src/fleet/receive.rs
@@ -4,6 +4,7 @@
 use super::{Fleet, News};
 use crate::gossip::Topic;
 use crate::table::{Acts, Claim, Incarnation, Standing};
+use crate::want::{Conflict, Want, Wanted};
 use crate::wire::{self, Head, Item, Kind, MAX_DATAGRAM};
 use crate::{Millis, Place};
 
@@ -94,6 +95,15 @@
                     self.table.keep(version);
                 }
             }
+            Item::Want { number, digest, by, left } => {
+                let required = (left != u32::MAX).then(|| now + u64::from(left));
+                self.wanted(Wanted::One(Want { number, digest, by, required }));
+            }
+            Item::Conflict { number, digests } => {
+                if digests[0] != digests[1] {
+                    self.wanted(Wanted::Both(Conflict { number, digests }));
+                }
+            }
             // Only a text's part holds any, and is read elsewhere.
             Item::Bytes(_) => {}
         }
@@ -120,6 +130,7 @@
             Kind::Ack { nonce } => {
                 if let Some(p) = self.probe.as_mut().filter(|p| p.nonce == nonce) {
                     p.answered = true;
+                    self.confirmed = self.confirmed.max(Some(p.begun));
                 }
                 let ours = self.helping.iter().position(|h| h.ours == nonce && h.after == from);
                 if let Some(h) = ours.map(|at| self.helping.swap_remove(at)) {
--- a/crates/heathroad-fleet/src/gossip.rs
+++ b/crates/heathroad-fleet/src/gossip.rs
@@ -1,13 +1,14 @@
 //! What is passed on next. News goes a bounded number of times from each who hears it, the least told first; what room is left
 //! in a datagram goes to old news by turns, so that whoever missed something hears it again.
 
-use crate::Place;
 use crate::table::Table;
+use crate::want::{Conflict, Want, Wanted};
 use crate::wire::Item;
+use crate::{Millis, Place};
 use std::collections::BTreeMap;
 
-/// A piece of news is told so many times the logarithm of the fleet's size by each who has it.
-const TIMES: f64 = 3.0;
+/// A piece of news is told so many times the logarithm to base ten of the fleet's size by each who has it.
+const TIMES: f64 = 4.0;
 /// Most items that are looked up for a datagram; it holds fewer.
 const MOST: usize = 16;
 
@@ -18,11 +19,13 @@
     Standing(Place),
     /// What it acts on.
     Acts(Place),
+    /// What all are to act on.
+    Wanted,
 }
 
 impl Topic {
     /// What is known of it now: what is passed on is never older than that.
-    fn item(self, table: &Table) -> Option<Item> {
+    fn item(self, table: &Table, now: Millis) -> Option<Item> {
         match self {
             Topic::Standing(place) => table.claim(place).map(Item::Claim),
             Topic::Acts(member) => table.get(member)?.acts.map(|a| Item::Acts {
@@ -31,6 +34,15 @@
                 change: a.change,
                 digest: a.digest,
             }),
+            Topic::Wanted => match table.wanted() {
+                Wanted::Nothing => None,
+                Wanted::One(Want { number, digest, by, required }) => {
+                    let left = |at: Millis| u32::try_from(at.saturating_sub(now)).unwrap_or(u32::MAX - 1);
+                    let left = required.map_or(u32::MAX, |at| left(at).min(u32::MAX - 1));
+                    Some(Item::Want { number, digest, by, left })
+                }
+                Wanted::Both(Conflict { number, digests }) => Some(Item::Conflict { number, digests }),
+            },
         }
     }
 }
@@ -55,14 +67,17 @@
     }
 
     /// What a datagram to somebody should tell, the first the most: what it must know of itself, news, old news.
-    pub fn items(&mut self, table: &Table, to: Place) -> Vec<(Option<Topic>, Item)> {
+    pub fn items(&mut self, table: &Table, to: Place, now: Millis) -> Vec<(Option<Topic>, Item)> {
         let own = table.get(to).filter(|m| m.standing != crate::table::Standing::Alive);
-        let own = own.and_then(|_| Topic::Standing(to).item(table)).map(|item| (None, item));
+        let own = own.and_then(|_| Topic::Standing(to).item(table, now)).map(|item| (None, item));
         let mut hot: Vec<(u32, Topic)> = self.hot.iter().map(|(topic, told)| (*told, *topic)).collect();
         hot.sort_unstable();
-        let known: Vec<Topic> = hot.into_iter().map(|(_, topic)| topic).take(MOST).collect();
+        let known = hot.into_iter().map(|(_, topic)| topic).filter(|t| *t != Topic::Wanted);
+        let known: Vec<Topic> = known.take(MOST).collect();
         let mut items: Vec<(Option<Topic>, Item)> = own.into_iter().collect();
-        items.extend(known.iter().filter_map(|t| Some((Some(*t), t.item(table)?))));
+        // Whoever is answered knows what is wanted from then on: there is always room for that.
+        items.extend(Topic::Wanted.item(table, now).map(|item| (Some(Topic::Wanted), item)));
+        items.extend(known.iter().filter_map(|t| Some((Some(*t), t.item(table, now)?))));
         for _ in 0..table.places() {
             if items.len() >= MOST {
                 break;
@@ -70,7 +85,7 @@
             self.turn = (self.turn + 1) % table.places().max(1);
             let topics = [Topic::Standing(self.turn), Topic::Acts(self.turn)];
             let old = topics.iter().filter(|t| !known.contains(t));
-            items.extend(old.filter_map(|t| Some((None, t.item(table)?))));
+            items.extend(old.filter_map(|t| Some((None, t.item(table, now)?))));
         }
         items
     }
@@ -78,7 +93,7 @@
     /// These were told once more; what was told often enough is news no longer. Old news that found no room is told first next
     /// time.
     pub fn told(&mut self, items: &[(Option<Topic>, Item)], written: usize, places: u16) {
-        let most = (TIMES * f64::from(places.max(2)).log2()).ceil() as u32;
+        let most = (TIMES * (f64::from(places) + 1.0).log10()).ceil().max(TIMES) as u32;
         for topic in items[..written].iter().filter_map(|(topic, _)| *topic) {
             if let Some(told) = self.hot.get_mut(&topic) {
                 *told += 1;
--- a/crates/heathroad-fleet/src/lib.rs
+++ b/crates/heathroad-fleet/src/lib.rs
@@ -7,7 +7,8 @@
 //! - [`table`] is what is known of every member, and how two words on one member are merged. [`gossip`] says what of that
 //!   is passed on next.
 //! - [`health`] is the proxy's doubt of itself: who is slow does not accuse others.
-//! - [`version`] is what a proxy acts on, as one value; [`record`] is what it did on which.
+//! - [`version`] is what a proxy acts on, as one value; [`record`] is what it did on which. [`want`] is what all
+//!   should act on.
 //!
 //! The protocol is SWIM with suspicion (Das, Gupta, Motivala 2002) and Lifeguard (Dadgar, Phillips, Currey 2017), over a list of
 //! addresses that is known: a member is its place in that list. `docs/design/fleet.md` says what was weighed,
@@ -21,6 +22,7 @@
 pub mod seal;
 pub mod table;
 pub mod version;
+pub mod want;
 pub mod wire;
 
 /// Milliseconds of a clock that only goes forward.
--- a/crates/heathroad-fleet/src/record.rs
+++ b/crates/heathroad-fleet/src/record.rs
@@ -27,6 +27,8 @@
     Refused,
     /// A request failed, or its time was over, or its caller left.
     Failed,
+    /// A request was refused unbound, since this proxy fenced itself.
+    Fenced,
     /// A change came into force.
     Applied,
     /// A change was undone.
@@ -47,6 +49,8 @@
     pub refused: u64,
     /// [`Act::Failed`].
     pub failed: u64,
+    /// [`Act::Fenced`].
+    pub fenced: u64,
     /// [`Act::Applied`].
     pub applied: u64,
     /// [`Act::Undone`].
@@ -61,6 +65,7 @@
             Act::Served => &mut self.served,
             Act::Refused => &mut self.refused,
             Act::Failed => &mut self.failed,
+            Act::Fenced => &mut self.fenced,
             Act::Applied => &mut self.applied,
             Act::Undone => &mut self.undone,
         };
@@ -74,6 +79,7 @@
             served: self.served + other.served,
             refused: self.refused + other.refused,
             failed: self.failed + other.failed,
+            fenced: self.fenced + other.fenced,
             applied: self.applied + other.applied,
             undone: self.undone + other.undone,
         }
@@ -81,8 +87,8 @@
 
     /// All of them.
     pub fn sum(&self) -> u64 {
-        let Acts { bound, sent, served, refused, failed, applied, undone } = *self;
-        bound + sent + served + refused + failed + applied + undone
+        let Acts { bound, sent, served, refused, failed, fenced, applied, undone } = *self;
+        bound + sent + served + refused + failed + fenced + applied + undone
     }
 }
 
@@ -123,8 +129,28 @@
     CutOff,
     /// It did nothing, by no will of its own.
     Stalled,
+    /// It had fenced itself: no request was bound, no attempt sent.
+    Fenced,
 }
 
+/// A generation that this proxy did not take, though all were to act on it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TurnedDown {
+    /// When.
+    pub at: Unix,
+    /// Its number.
+    pub generation: u64,
+    /// The digest of its text.
+    pub routes: Digest,
+    /// Why, in at most [`MAX_WHY`] bytes.
+    pub why: String,
+}
+
+/// Longest reason, in bytes; a longer one is cut.
+pub const MAX_WHY: usize = 300;
+/// Most generations turned down; the oldest go first.
+pub const MAX_TURNED_DOWN: usize = 32;
+
 /// A time of trouble.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Spell {
@@ -164,6 +190,9 @@
     /// When it was kept from its fellows, the oldest first.
     #[serde(default)]
     pub spells: Vec<Spell>,
+    /// What it did not take, the oldest first.
+    #[serde(default)]
+    pub turned_down: Vec<TurnedDown>,
 }
 
 /// A page that acts are written on. Who holds it may write on it for as long as it likes.
@@ -195,6 +224,11 @@
     pub fn digest(&self) -> Digest {
         self.kept.borrow().digest
     }
+
+    /// The digest of its version's routes.
+    pub fn routes(&self) -> Digest {
+        self.kept.borrow().version.routes
+    }
 }
 
 /// A proxy's record.
@@ -208,6 +242,7 @@
     lost_pages: u64,
     lost_until: Option<Unix>,
     spells: VecDeque<Spell>,
+    turned_down: VecDeque<TurnedDown>,
     /// Grows with every page that is begun, joined or given up.
     changes: u64,
 }
@@ -225,9 +260,11 @@
             lost_pages: lost.pages,
             lost_until: lost.until,
             spells: VecDeque::new(),
+            turned_down: VecDeque::new(),
             changes: 0,
         };
         if let Some(told) = before {
+            record.turned_down = told.turned_down.into();
             let ended = |s: Spell| Spell { to: s.to.or(Some(told.at)), ..s };
             record.spells = told.spells.into_iter().map(ended).collect();
             for mut kept in told.pages {
@@ -272,6 +309,23 @@
         }
     }
 
+    /// A generation was not taken, for a reason.
+    pub fn turn_down(&mut self, mut one: TurnedDown) {
+        self.changes += 1;
+        while one.why.len() > MAX_WHY {
+            one.why.pop();
+        }
+        if self.turned_down.len() >= MAX_TURNED_DOWN {
+            self.turned_down.pop_front();
+        }
+        self.turned_down.push_back(one);
+    }
+
+    /// Why a text was turned down, if it was.
+    pub fn turned_down(&self, routes: Digest) -> Option<&TurnedDown> {
+        self.turned_down.iter().rev().find(|t| t.routes == routes)
+    }
+
     /// A spell of trouble begins, or is told when it is over.
     pub fn spell(&mut self, spell: Spell) {
         self.changes += 1;
@@ -345,6 +399,7 @@
             pages: self.pages.iter().map(|p| p.kept.borrow().clone()).collect(),
             lost: Lost { pages: self.lost_pages, acts, until: self.lost_until },
             spells: self.spells.iter().copied().collect(),
+            turned_down: self.turned_down.iter().cloned().collect(),
         }
     }
 }
--- a/crates/heathroad-fleet/src/table.rs
+++ b/crates/heathroad-fleet/src/table.rs
@@ -3,6 +3,7 @@
 
 use crate::seal::Window;
 use crate::version::{Digest, Version};
+use crate::want::Wanted;
 use crate::{Millis, Place};
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -127,6 +128,7 @@
 pub struct Table {
     members: Vec<Member>,
     versions: BTreeMap<Digest, Version>,
+    wanted: Wanted,
 }
 
 /// What became of a word.
@@ -161,7 +163,11 @@
             window: Window::default(),
             greeted: None,
         };
-        Table { members: vec![unheard; usize::from(members)], versions: BTreeMap::new() }
+        Table {
+            members: vec![unheard; usize::from(members)],
+            versions: BTreeMap::new(),
+            wanted: Wanted::Nothing,
+        }
     }
 
     /// How many places the fleet has.
@@ -236,6 +242,29 @@
         news
     }
 
+    /// What all are to act on.
+    pub fn wanted(&self) -> Wanted {
+        self.wanted
+    }
+
+    /// Takes a word on what is wanted; whether it is news.
+    pub fn want(&mut self, other: Wanted) -> bool {
+        self.wanted.merge(other)
+    }
+
+    /// The highest number of a generation that anybody is known to have committed or to act on.
+    pub fn highest_generation(&self) -> u64 {
+        self.versions.values().map(|v| v.generation).max().unwrap_or(0).max(self.wanted.number())
+    }
+
+    /// Members that are there and act on routes with a digest.
+    pub fn acting_on(&self, routes: Digest) -> impl Iterator<Item = Place> {
+        let acts = move |m: &Member| {
+            m.acts.and_then(|a| self.versions.get(&a.digest)).is_some_and(|v| v.routes == routes)
+        };
+        self.all().filter(move |(_, m)| m.standing == Standing::Alive && acts(m)).map(|(place, _)| place)
+    }
+
     /// The whole version that a digest stands for, where it was told.
     pub fn version(&self, digest: Digest) -> Option<&Version> {
         self.versions.get(&digest)
--- a/crates/heathroad-fleet/src/wire.rs
+++ b/crates/heathroad-fleet/src/wire.rs
@@ -245,6 +245,24 @@
     Whole(Version),
     /// Bytes of a text, at most 255.
     Bytes(Vec<u8>),
+    /// A generation of routes that all are to act on.
+    Want {
+        /// Its number.
+        number: u64,
+        /// The digest of its text.
+        digest: Digest,
+        /// Where it was committed first.
+        by: Place,
+        /// It is required within so many milliseconds; [`u32::MAX`] where it is not.
+        left: u32,
+    },
+    /// Two texts that were committed under one number.
+    Conflict {
+        /// The number.
+        number: u64,
+        /// Their digests.
+        digests: [Digest; 2],
+    },
 }
 
 impl Item {
@@ -275,6 +293,18 @@
                 to.u8(bytes.len() as u8);
                 to.bytes(bytes);
             }
+            Item::Want { number, digest, by, left } => {
+                to.u8(5);
+                to.u64(*number);
+                to.bytes(&digest.0);
+                to.u16(*by);
+                to.u32(*left);
+            }
+            Item::Conflict { number, digests } => {
+                to.u8(6);
+                to.u64(*number);
+                digests.iter().for_each(|d| to.bytes(&d.0));
+            }
         }
     }
 
@@ -297,6 +327,16 @@
                 let length = usize::from(from.u8()?);
                 Ok(Item::Bytes(from.bytes(length)?.to_vec()))
             }
+            5 => Ok(Item::Want {
+                number: from.u64()?,
+                digest: Digest(from.array()?),
+                by: from.u16()?,
+                left: from.u32()?,
+            }),
+            6 => {
+                let number = from.u64()?;
+                Ok(Item::Conflict { number, digests: [Digest(from.array()?), Digest(from.array()?)] })
+            }
             _ => Err(Torn),
         }
     }
--- a/crates/heathroad-rehearsal/src/fleet.rs
+++ b/crates/heathroad-rehearsal/src/fleet.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{sleep, timeout};
 
 /// What must come, comes within this.
@@ -22,7 +22,11 @@
 /// An audit may take so long where some do not answer.
 const ANSWER: Duration = Duration::from_secs(9);
 /// A call is given up after this.
-const PATIENCE: Duration = Duration::from_secs(5);
+const CALL: Duration = Duration::from_secs(30);
+/// A planned stop takes no longer.
+const STOP: Duration = Duration::from_secs(10);
+/// Descriptors of each.
+const SOCKETS: u32 = 256;
 /// The key of every fleet here.
 const KEY: &str = "a key for rehearsals alone, of some length";
 
@@ -33,6 +37,8 @@
     pub routes: Option<String>,
     /// A period of the fleet's protocol, in milliseconds.
     pub period_ms: u64,
+    /// A proxy that can't know what is required fences itself after so long.
+    pub fence_unsure_after_ms: Option<u64>,
 }
 
 /// An attempt that came to the backend.
@@ -99,9 +105,11 @@
         let name = format!("heathroad-fleet-{}-{:x}", std::process::id(), fastrand::Rng::new().u32(..));
         let folder = std::env::temp_dir().join(name);
         let made = std::fs::create_dir(&folder).and_then(|()| {
+            let unsure = options.fence_unsure_after_ms.map(|ms| format!("fence_unsure_after_ms = {ms}\n"));
             let file = format!(
-                "name = \"rehearsal\"\nkey_file = \"key\"\ntells_backends = true\nperiod_ms = {}\n",
-                options.period_ms
+                "name = \"rehearsal\"\nkey_file = \"key\"\ntells_backends = true\nperiod_ms = {}\n{}",
+                options.period_ms,
+                unsure.unwrap_or_default()
             );
             std::fs::write(folder.join("key"), KEY)?;
             std::fs::write(folder.join("fleet.toml"), file)
@@ -119,8 +127,15 @@
             let text = fleet.routes(routes);
             std::fs::write(fleet.folder.join("routes.toml"), text).map_err(|e| e.to_string())?;
         }
+        // Together: where each waits for more than half of the others, none is ready alone.
+        let mut starting = JoinSet::new();
         for proxy in 0..proxies {
-            fleet.start(proxy).await?;
+            let (program, file, config) = fleet.launch(proxy)?;
+            starting.spawn(async move { (proxy, daemon::start(&program, &file, &config, SOCKETS).await) });
+        }
+        while let Some(started) = starting.join_next().await {
+            let (proxy, daemon) = started.map_err(|e| e.to_string())?;
+            fleet.daemons[usize::from(proxy)] = Some(daemon?);
         }
         Ok(fleet)
     }
@@ -142,7 +157,7 @@
             "name": format!("proxy-{proxy}"), "listen": "127.0.0.1:0", "admin": "127.0.0.1:0",
             // Nobody tells lists here; the one that was known last names the backend.
             "discovery": "127.0.0.1:9", "seed": format!("{:x}", self.network.seed.wrapping_add(u64::from(proxy))),
-            "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 256},
+            "limits": {"cores": 1.0, "memory_mb": 32, "sockets": SOCKETS},
             "peer_listen": self.network.listens(proxy).to_string(), "peers": peers,
             "fleet": path("fleet.toml"), "state": self.state(proxy).display().to_string(),
             "routes": routes, "probation_ms": 200,
@@ -160,14 +175,19 @@
         })
     }
 
-    /// Starts one, with the state that it has.
-    pub async fn start(&mut self, proxy: u16) -> Result<(), String> {
+    /// What one is started with: the program, its file and what is to stand there.
+    fn launch(&self, proxy: u16) -> Result<(PathBuf, PathBuf, Value), String> {
         let (state, file) = (self.state(proxy), self.folder.join(format!("proxy-{proxy}.json")));
         if !state.exists() {
             std::fs::create_dir(&state).map_err(|e| e.to_string())?;
         }
-        let config = self.config(proxy);
-        let daemon = daemon::start(&self.program, &file, &config, 256).await?;
+        Ok((self.program.clone(), file, self.config(proxy)))
+    }
+
+    /// Starts one, with the state that it has.
+    pub async fn start(&mut self, proxy: u16) -> Result<(), String> {
+        let (program, file, config) = self.launch(proxy)?;
+        let daemon = daemon::start(&program, &file, &config, SOCKETS).await?;
         self.daemons[usize::from(proxy)] = Some(daemon);
         Ok(())
     }
@@ -187,7 +207,7 @@
     pub async fn stop(&mut self, proxy: u16) -> Result<(), String> {
         let Some(daemon) = self.daemons[usize::from(proxy)].take() else { return Ok(()) };
         daemon.terminate().map_err(|e| e.to_string())?;
-        let (_, well) = daemon.finish(PATIENCE * 2).await;
+        let (_, well) = daemon.finish(STOP).await;
         if well { Ok(()) } else { Err(format!("proxy {proxy} did not stop as planned")) }
     }
 
@@ -268,9 +288,17 @@
 
     /// One request to one; its status.
     pub async fn call(&mut self, proxy: u16) -> Result<u16, String> {
+        self.calling(proxy)?.await
+    }
+
+    /// The same as something that goes on by itself.
+    pub fn calling(
+        &mut self,
+        proxy: u16,
+    ) -> Result<impl Future<Output = Result<u16, String>> + use<>, String> {
         self.calls += 1;
         let (id, at) = (u64::from(proxy) << 32 | self.calls, self.daemon(proxy)?.listens);
-        let call = async {
+        let call = async move {
             let mut stream = TcpStream::connect(at).await?;
             let head = format!(
                 "GET /look HTTP/1.1\r\nHost: x\r\nReq-Id: {id:016x}\r\nReq-Deadline-Ms: 4000\r\n\r\n"
@@ -279,15 +307,25 @@
             let answer = Buffer::default().response(&mut stream).await;
             answer.map(|a| a.status).map_err(|_| std::io::Error::other("no whole answer"))
         };
-        let done = timeout(PATIENCE, call).await;
-        done.map_err(|_| "no answer".to_string())?.map_err(|e| e.to_string())
+        Ok(async {
+            let done = timeout(CALL, call).await;
+            done.map_err(|_| "no answer".to_string())?.map_err(|e| e.to_string())
+        })
     }
 
     /// Proposes a change of routes to one, and waits until it is committed.
     pub async fn apply(&self, proxy: u16, text: &str) -> Result<(), String> {
+        self.propose(proxy, "/config/apply", text).await
+    }
+
+    /// The same, required of all within so many milliseconds from its commit on.
+    pub async fn require(&self, proxy: u16, text: &str, within_ms: u64) -> Result<(), String> {
+        self.propose(proxy, &format!("/config/apply?required_ms={within_ms}"), text).await
+    }
+
+    async fn propose(&self, proxy: u16, path: &str, text: &str) -> Result<(), String> {
         let admin = self.daemon(proxy)?.admin;
-        let told =
-            daemon::post(admin, "/config/apply", &self.routes(text)).await.map_err(|e| e.to_string())?;
+        let told = daemon::post(admin, path, &self.routes(text)).await.map_err(|e| e.to_string())?;
         if told.0 != 200 {
             return Err(String::from_utf8_lossy(&told.1).into_owned());
         }
--- a/crates/heathroad-rehearsal/tests/fleet.rs
+++ b/crates/heathroad-rehearsal/tests/fleet.rs
@@ -34,7 +34,7 @@
 
 async fn fleet(proxies: u16, seed: u64, with_routes: bool) -> Fleet {
     let routes = with_routes.then(|| routes(1));
-    let options = Options { routes, period_ms: PERIOD_MS };
+    let options = Options { routes, period_ms: PERIOD_MS, fence_unsure_after_ms: None };
     let fleet = Fleet::begin(&daemon(), proxies, seed, options).await.expect("it starts");
     fleet.until_all_there().await.expect("all know all");
     fleet
@@ -182,12 +182,14 @@
         w.jitter = Duration::from_millis(30);
     });
     for round in 0..3 {
+        let next = 2 + u64::from(round);
+        fleet.apply(round, &routes(next)).await.expect("it is taken");
+        // Each is brought up in its own time, under calls.
         for proxy in 0..3 {
-            for _ in 0..5 {
+            let there = |s: &Value| s["generation"] == next && s["open"].is_null();
+            while !there(&fleet.ask(proxy, "/config/status").await.expect("told")) {
                 assert_eq!(fleet.call(proxy).await, Ok(200));
-            }
-            if proxy != round {
-                fleet.apply(proxy, &routes(2 + u64::from(round))).await.expect("it is taken");
+                sleep(Duration::from_millis(20)).await;
             }
             assert_eq!(fleet.call(proxy).await, Ok(200));
         }
--- /dev/null
+++ b/crates/heathroad-rehearsal/tests/stragglers.rs
@@ -0,0 +1,187 @@
+//! Proxies that are behind their fleet: brought up, or shut out.
+
+mod common;
+
+use common::daemon;
+use heathroad_rehearsal::fleet::{Fleet, Options};
+use serde_json::Value;
+use std::time::Duration;
+use tokio::time::sleep;
+
+const PERIOD_MS: u64 = 300;
+
+/// A text of routes that differs from others in its number alone.
+fn routes(n: u64) -> String {
+    format!(
+        "[[pool]]\nname = \"all\"\nbackends = [\"BACKEND\"]\n[[pool.class]]\nname = \"look\"\neffect = \"safe\"\n\
+         aim_ms = 1000\ndeadline_ms = {}\n[[route]]\nname = \"all\"\npool = \"all\"\n",
+        4000 + n
+    )
+}
+
+async fn fleet(proxies: u16, seed: u64, fence_unsure_after_ms: Option<u64>) -> Fleet {
+    let options = Options { routes: Some(routes(1)), period_ms: PERIOD_MS, fence_unsure_after_ms };
+    let fleet = Fleet::begin(&daemon(), proxies, seed, options).await.expect("it starts");
+    fleet.until_all_there().await.expect("all know all");
+    fleet
+}
+
+fn generation(status: &Value) -> u64 {
+    status["generation"].as_u64().unwrap_or(0)
+}
+
+async fn until_at(fleet: &Fleet, proxy: u16, number: u64) {
+    let there = |s: &Value| generation(s) == number && s["open"].is_null();
+    fleet.until(proxy, "/config/status", there).await.expect("it is brought up");
+}
+
+#[tokio::test]
+async fn a_straggler_is_brought_up() {
+    let mut fleet = fleet(4, 11, None).await;
+    let old = fleet.copy_state(3).expect("it is there");
+    // One is cut off while a change is made elsewhere: the others are brought up, it is once it is heard again.
+    fleet.network.cut(&[&[2]]);
+    fleet.apply(0, &routes(2)).await.expect("it is taken");
+    for proxy in [1, 3] {
+        until_at(&fleet, proxy, 2).await;
+    }
+    assert_eq!(generation(&fleet.ask(2, "/config/status").await.expect("told")), 1);
+    assert_eq!(fleet.call(2).await, Ok(200), "it is not required: who is cut off serves on");
+    fleet.network.heal();
+    until_at(&fleet, 2, 2).await;
+    // One comes back with an old copy of its state.
+    fleet.kill(3);
+    fleet.put_back(3, &old).expect("it is put back");
+    fleet.start(3).await.expect("it starts");
+    until_at(&fleet, 3, 2).await;
+    // A change by hand at another gets a number above all that are known.
+    fleet.apply(1, &routes(3)).await.expect("it is taken");
+    for proxy in 0..4 {
+        until_at(&fleet, proxy, 3).await;
+    }
+}
+
+/// The ones that a straggler would pull from die; another has the text.
+#[tokio::test]
+async fn sources_that_die() {
+    let mut fleet = fleet(4, 12, None).await;
+    fleet.network.cut(&[&[3]]);
+    fleet.apply(0, &routes(2)).await.expect("it is taken");
+    for proxy in [1, 2] {
+        until_at(&fleet, proxy, 2).await;
+    }
+    fleet.network.all(|w| w.loss = 0.2);
+    fleet.network.around(3, |w| w.cut = false);
+    fleet.kill(0);
+    fleet.kill(1);
+    until_at(&fleet, 3, 2).await;
+}
+
+/// What a proxy can't take it turns down, once, and the audit says why.
+#[tokio::test]
+async fn a_change_that_some_turn_down() {
+    let fleet = fleet(3, 13, None).await;
+    // On one machine only one can listen there.
+    let port =
+        std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port").port();
+    let pool = routes(2).replace("[[route]]", "[pool.rpc]\nframing = \"lines\"\n[[route]]");
+    let door = format!(
+        "{pool}[[listener]]\nname = \"remote\"\nprotocol = \"json-rpc\"\nlisten = \"127.0.0.1:{port}\"\nframing = \"lines\"\n\
+         [[listener.method]]\nname = \"look\"\nclass = \"look\"\n"
+    );
+    fleet.apply(0, &door).await.expect("it is taken where it was proposed");
+    let down = |told: &Value| {
+        (1..3).all(|p| told["members"][p]["turned_down"].as_array().is_some_and(|t| !t.is_empty()))
+    };
+    let audit = fleet.until(0, "/fleet/audit", down).await.expect("both turn it down");
+    for proxy in 1..3 {
+        let [down] = &audit["members"][proxy]["turned_down"].as_array().expect("a list")[..] else {
+            panic!("it is turned down once: {audit}")
+        };
+        assert!(down["why"].as_str().is_some_and(|w| w.contains("listener remote")), "{down}");
+    }
+    assert_eq!(generation(&fleet.ask(1, "/config/status").await.expect("told")), 1);
+}
+
+/// Two changes under one number on both sides of a cut: neither is spread once they meet, and the conflict has a name.
+#[tokio::test]
+async fn two_changes_under_one_number() {
+    let fleet = fleet(4, 14, None).await;
+    fleet.network.cut(&[&[0, 1], &[2, 3]]);
+    fleet.apply(0, &routes(2)).await.expect("it is taken");
+    fleet.apply(3, &routes(3)).await.expect("it is taken");
+    for proxy in [1, 2] {
+        until_at(&fleet, proxy, 2).await;
+    }
+    fleet.network.heal();
+    for proxy in 0..4 {
+        let both = |t: &Value| t["wanted"]["is"] == "both" && t["wanted"]["number"] == 2;
+        fleet.until(proxy, "/fleet/members", both).await.expect("the conflict is known");
+    }
+    fleet.apply(2, &routes(4)).await.expect("it is taken");
+    for proxy in 0..4 {
+        until_at(&fleet, proxy, 3).await;
+    }
+}
+
+/// A stalled proxy wakes with requests in its sockets, long after another version was required: none is decided on the old one.
+#[tokio::test]
+async fn no_act_on_an_old_version_past_its_bound() {
+    // Where a proxy fences itself when it can't know, and where it has heard before it stalled.
+    for (seed, unsure) in [(15, Some(5 * PERIOD_MS)), (16, None)] {
+        let mut fleet = fleet(3, seed, unsure).await;
+        assert_eq!(fleet.call(1).await, Ok(200));
+        let old = fleet.noted().last().and_then(|n| n.version.clone()).expect("told");
+        let within = 3000;
+        if unsure.is_some() {
+            fleet.daemon(1).expect("it runs").stall().expect("stopped");
+            fleet.require(0, &routes(2), within).await.expect("it is taken");
+        } else {
+            // It hears of the change before it stalls.
+            fleet.require(0, &routes(2), within).await.expect("it is taken");
+            let known = |t: &Value| t["wanted"]["number"] == 2 && !t["wanted"]["required"].is_null();
+            fleet.until(1, "/fleet/members", known).await.expect("it hears of it");
+            fleet.daemon(1).expect("it runs").stall().expect("stopped");
+        }
+        let bound = fleet.clock.now() + within * 1000;
+        let calls: Vec<_> = (0..20).map(|_| tokio::spawn(fleet.calling(1).expect("it runs"))).collect();
+        sleep(Duration::from_millis(within + 1500)).await;
+        assert!(fleet.clock.now() > bound);
+        fleet.daemon(1).expect("it runs").wake().expect("goes on");
+        let mut refused = 0;
+        for call in calls {
+            let status = call.await.expect("no panic").expect("each is answered");
+            assert!(status == 200 || status == 503, "{status}");
+            refused += usize::from(status == 503);
+        }
+        let late: Vec<_> = fleet.noted().into_iter().filter(|n| n.proxy == 1 && n.at > bound).collect();
+        assert!(late.iter().all(|n| n.version.as_ref() != Some(&old)), "{late:?}");
+        assert_eq!(refused + late.len(), 20, "refused at once, or decided on what is required");
+        until_at(&fleet, 1, 2).await;
+        let served = |t: &Value| t["fenced"] == false;
+        fleet.until(1, "/fleet/members", served).await.expect("it is no longer fenced");
+        assert_eq!(fleet.call(1).await, Ok(200));
+        let audit = fleet.ask(2, "/fleet/audit").await.expect("told");
+        let spells = audit["members"][1]["spells"].as_array().expect("reached").clone();
+        let fenced = |s: &Value| s["trouble"] == "fenced" && s["to"].is_u64();
+        assert!(refused == 0 || spells.iter().any(fenced), "{spells:?}");
+    }
+}
+
+/// Cut off, it can't know: it fences itself where that is asked for, says that it is not ready, and is back when it is heard.
+#[tokio::test]
+async fn who_cannot_know_fences_itself() {
+    let mut fleet = fleet(3, 17, Some(5 * PERIOD_MS)).await;
+    fleet.network.cut(&[&[2]]);
+    fleet.until(2, "/fleet/members", |t| t["fenced"] == true).await.expect("it can't know");
+    assert_eq!(fleet.call(2).await, Ok(503));
+    let listens = fleet.daemon(2).expect("it runs").listens;
+    let ready = heathroad_rehearsal::daemon::get(listens, "/health/ready").await.expect("it answers");
+    assert_eq!(ready.0, 503);
+    assert_eq!(fleet.call(0).await, Ok(200), "two of three know");
+    let short = fleet.require(0, &routes(2), 1000).await.expect_err("sooner than anybody could know");
+    assert!(short.contains("expected 1500 at least"), "{short}");
+    fleet.network.heal();
+    fleet.until(2, "/fleet/members", |t| t["fenced"] == false).await.expect("it knows again");
+    assert_eq!(fleet.call(2).await, Ok(200));
+}
--- a/crates/heathroad-routing/src/transaction.rs
+++ b/crates/heathroad-routing/src/transaction.rs
@@ -38,7 +38,8 @@
 /// What happens.
 #[derive(Debug)]
 pub enum Event {
-    /// A checked text is proposed; its number is this machine's to give.
+    /// A checked text is proposed. Its number is this machine's to give, unless it bears one that is higher than any that
+    /// was given here: one that other machines know it by.
     Propose(Rc<Generation>),
     /// A pool that a generation stages has nodes and warm connections.
     Ready {
@@ -176,6 +177,11 @@
         &self.current
     }
 
+    /// So high a number was given elsewhere: the next one that is given here is higher.
+    pub fn given(&mut self, number: u64) {
+        self.highest = self.highest.max(number);
+    }
+
     /// The change under way: its number, and whether it is in force already.
     pub fn open(&self) -> Option<(u64, bool)> {
         match &self.phase {
@@ -239,7 +245,7 @@
     }
 
     fn stage(&mut self, now: Millis, next: &Generation, gate: Gate, out: &mut Vec<Step>) {
-        self.highest += 1;
+        self.highest = next.number.max(self.highest + 1);
         // It was checked when it was read, and reads the same under its number.
         let Ok(next) = Generation::read(self.highest, "", &next.text) else { return };
         let missing: BTreeSet<String> = next.pools_unlike(&self.current).map(str::to_string).collect();
--- a/crates/heathroad/src/configuration/fleet.rs
+++ b/crates/heathroad/src/configuration/fleet.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 /// Most members.
 const MAX_MEMBERS: usize = 10_000;
@@ -14,6 +15,9 @@
 /// A period of the protocol, in milliseconds.
 const PERIOD_MS: std::ops::RangeInclusive<u64> = 100..=60_000;
 
+/// A proxy that is to fence itself when it can't know what is required waits for so many periods at the least.
+const SURE_PERIODS: u64 = 5;
+
 /// What a start needs of it.
 pub struct Settings {
     /// The fleet's name.
@@ -28,6 +32,8 @@
     pub own: Place,
     /// Times and bounds of the protocol.
     pub terms: Terms,
+    /// A proxy that has confirmed nothing with a fellow for so long, or sees no more than half of the fleet, fences itself.
+    pub sure_for: Option<Duration>,
     /// Backends are told by which version each attempt was decided; for rehearsals.
     pub tells_backends: bool,
 }
@@ -39,6 +45,7 @@
     key_file: PathBuf,
     #[serde(default)]
     tells_backends: bool,
+    fence_unsure_after_ms: Option<u64>,
     #[serde(default = "usual_period")]
     period_ms: u64,
 }
@@ -75,6 +82,13 @@
         let [least, most] = [PERIOD_MS.start(), PERIOD_MS.end()];
         return Err(wrong(&format!("period_ms: {}; expected {least} to {most}", read.period_ms)));
     }
+    // A few questions may be lost.
+    let least = SURE_PERIODS * read.period_ms;
+    if let Some(short) = read.fence_unsure_after_ms.filter(|ms| *ms < least) {
+        return Err(wrong(&format!(
+            "fence_unsure_after_ms: {short}; expected {least} at least, {SURE_PERIODS} periods"
+        )));
+    }
     let seal = Seal::new(&read.name, key).map_err(|e| wrong(&e))?;
     let address = |name: &str, text: &str| text.parse().map_err(|e| format!("config: {name}: {text}: {e}"));
     let listen = addresses.listen.ok_or("config: peer_listen: is missing; a fleet needs it")?;
@@ -91,6 +105,7 @@
         listen: address("peer_listen", listen)?,
         addresses: peers,
         own,
+        sure_for: read.fence_unsure_after_ms.map(Duration::from_millis),
         terms: Terms::with_period(read.period_ms),
         tells_backends: read.tells_backends,
     })
--- a/crates/heathroad/src/engine/mod.rs
+++ b/crates/heathroad/src/engine/mod.rs
@@ -34,6 +34,9 @@
 /// A request still without an answer so long before the caller's deadline is failed whatever the module says.
 const BACKSTOP: Duration = Duration::from_millis(10);
 
+/// Who is refused for want of room is told to stay away so long, where that is told.
+const AWAY: f64 = 500.0;
+
 /// A request's final answer.
 #[derive(Debug)]
 pub enum Answer {
@@ -126,6 +129,12 @@
     Duration::from_secs_f64(if ms.is_finite() { (ms / 1000.0).clamp(0.0, 86_400.0) } else { 0.0 })
 }
 
+/// How long who is refused for want of room, or by a fenced proxy, should stay away, where that is told.
+pub fn away(facts: &Facts) -> Option<Duration> {
+    let caps = &facts.settings.caps;
+    caps.retry_after.then(|| millis(AWAY.min(caps.max_retry_after)))
+}
+
 /// What a request is owed. The way to who waits is spent by its one answer.
 enum Life {
     Owed(Rc<Wait<Told>>),
@@ -251,6 +260,11 @@
 
     /// Takes a request and waits for its one answer. Dropped before that, the caller has hung up.
     pub async fn decide(self: &Rc<Self>, incoming: Incoming) -> Told {
+        if self.fenced() {
+            incoming.act(Act::Fenced);
+            self.counts.answered(incoming.class, incoming.tenant, Final::Refused);
+            return (Answer::Refused { retry_after: away(&self.facts) }, None);
+        }
         incoming.act(Act::Bound);
         let budget = &incoming.budget;
         let patience = budget.as_ref().map_or(incoming.patience, |b| incoming.patience.min(b.time()));
@@ -312,6 +326,11 @@
         incoming.act(Act::Refused);
     }
 
+    /// Whether this proxy binds no request, since others are required than it acts on, or it can't know.
+    pub fn fenced(&self) -> bool {
+        self.acts.as_ref().is_some_and(|a| a.fenced())
+    }
+
     /// What is in force now, to bind a request to, where a record is kept.
     pub fn acts(&self) -> Option<acts::Bound> {
         self.acts.as_ref().map(Acts::bind)
@@ -499,7 +518,8 @@
         let sent = Instant::now();
         let target = s.backends.get(&backend).and_then(|k| k.target.as_ref());
         let within = number < self.facts.settings.caps.try_limit as usize;
-        let may = || number == 0 || open.budget.as_ref().is_none_or(OnBooks::again);
+        let bound = open.acts.as_ref().is_none_or(acts::Bound::may);
+        let may = || bound && (number == 0 || open.budget.as_ref().is_none_or(OnBooks::again));
         let wait = match &open.life {
             Life::Owed(wait) => Some(wait.clone()),
             Life::Over => None,
--- a/crates/heathroad/src/fleet/acts.rs
+++ b/crates/heathroad/src/fleet/acts.rs
@@ -1,12 +1,13 @@
 //! What this proxy acts on, and the record of what it did on which.
 
-use heathroad_fleet::record::{Act, Page, Record, Spell, Told, Trouble, Unix};
+use heathroad_fleet::record::{Act, Page, Record, Spell, Told, Trouble, TurnedDown, Unix};
 use heathroad_fleet::version::{Digest, Source, Version};
 use heathroad_fleet::wire::SPOKEN;
 use hyper::header::HeaderValue;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -24,6 +25,11 @@
         self.page.act(act, self.acts.now());
     }
 
+    /// Whether an attempt may be sent for the request: not on routes past the time by which others are required.
+    pub fn may(&self) -> bool {
+        self.acts.may_on(self.page.routes())
+    }
+
     /// What backends are told of the version, where they are.
     pub fn header(&self) -> Option<HeaderValue> {
         let digest = self.acts.tells_backends.then(|| self.page.digest().to_string())?;
@@ -31,6 +37,17 @@
     }
 }
 
+/// Routes that were committed here, for the fleet to hear of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Committed {
+    /// Their number.
+    pub number: u64,
+    /// The digest of their text.
+    pub digest: Digest,
+    /// Within how many milliseconds they are required of all.
+    pub within: Option<u64>,
+}
+
 /// What this proxy acts on.
 pub struct Acts {
     version: RefCell<Version>,
@@ -42,11 +59,26 @@
     started: Instant,
     /// The digest and text of the routes in force, for those who ask.
     routes: RefCell<(Digest, Rc<str>)>,
+    committed: Cell<Option<Committed>>,
+    /// The highest number of a generation that is known in the fleet.
+    highest: Cell<u64>,
+    /// From when on nobody is to act on other routes than these.
+    required: Cell<Option<(Digest, Instant)>>,
+    /// Where a proxy that can't know what is required fences itself: until when it does know.
+    sure: Cell<Option<Instant>>,
+    /// For how long it knows, after a fellow has answered it.
+    sure_for: Option<Duration>,
+    fenced: Cell<bool>,
 }
 
 impl Acts {
     /// Begins with a version without routes and lists, and with what was kept of the record from before.
-    pub fn new(settings: Digest, before: Option<Told>, tells_backends: bool) -> Rc<Acts> {
+    pub fn new(
+        settings: Digest,
+        before: Option<Told>,
+        tells_backends: bool,
+        sure_for: Option<Duration>,
+    ) -> Rc<Acts> {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let base = u64::try_from(unix.as_millis()).unwrap_or(u64::MAX);
         let build = env!("CARGO_PKG_VERSION").to_string();
@@ -62,6 +94,12 @@
             base,
             started: Instant::now(),
             routes: RefCell::new((Digest::default(), "".into())),
+            committed: Cell::default(),
+            highest: Cell::default(),
+            required: Cell::default(),
+            sure: Cell::default(),
+            sure_for,
+            fenced: Cell::default(),
         })
     }
 
@@ -97,6 +135,82 @@
         self.change(|v| (v.generation, v.routes) = (number, digest));
     }
 
+    /// Routes in force were committed.
+    pub fn commit(&self, number: u64, text: &str, within: Option<u64>) {
+        self.committed.set(Some(Committed { number, digest: Digest::of(text.as_bytes()), within }));
+        self.changed.notify_waiters();
+    }
+
+    /// What was committed since the last look.
+    pub fn committed(&self) -> Option<Committed> {
+        self.committed.take()
+    }
+
+    /// The highest number of a generation that is known in the fleet.
+    pub fn highest(&self) -> u64 {
+        self.highest.get()
+    }
+
+    /// So high a number is known.
+    pub fn known(&self, highest: u64) {
+        self.highest.set(highest);
+    }
+
+    /// From a time on nobody is to act on other routes than these.
+    pub fn require(&self, required: Option<(Digest, Instant)>) {
+        self.required.set(required);
+    }
+
+    /// The soonest that anything can be required, in milliseconds: where proxies that can't know what is required fence themselves,
+    /// they do so after as long.
+    pub fn least_required(&self) -> u64 {
+        self.sure_for.map_or(0, |t| u64::try_from(t.as_millis()).unwrap_or(u64::MAX))
+    }
+
+    /// All that was required until now is known, and will be until a time.
+    pub fn sure_until(&self, until: Option<Instant>) {
+        self.sure.set(until);
+    }
+
+    /// Whether anything may be done on routes with a digest. The clock is looked at each time: a proxy that has stalled
+    /// finds out before its next act.
+    pub fn may_on(&self, routes: Digest) -> bool {
+        if self.required.get().is_none() && self.sure_for.is_none() {
+            return true;
+        }
+        let now = Instant::now();
+        let unmet = self.required.get().is_some_and(|(digest, at)| digest != routes && now >= at);
+        let unsure = self.sure_for.is_some() && self.sure.get().is_none_or(|until| now >= until);
+        !unmet && !unsure
+    }
+
+    /// Whether this proxy is fenced: it binds no request. The record tells from when to when.
+    pub fn fenced(&self) -> bool {
+        let fenced = !self.may_on(self.routes.borrow().0);
+        if self.fenced.replace(fenced) != fenced {
+            let (trouble, from) = (Trouble::Fenced, self.now());
+            let mut record = self.record.borrow_mut();
+            match fenced {
+                true => record.spell(Spell { trouble, from, to: None }),
+                false => record.spell_over(trouble, from),
+            }
+            let what = if fenced { "fenced: no request is bound" } else { "no longer fenced" };
+            eprintln!("heathroad: fleet: {what}");
+        }
+        fenced
+    }
+
+    /// A generation was not taken, for a reason.
+    pub fn turn_down(&self, generation: u64, routes: Digest, why: String) {
+        let at = self.now();
+        self.record.borrow_mut().turn_down(TurnedDown { at, generation, routes, why });
+    }
+
+    /// Whether a text was turned down before.
+    pub fn turned_down(&self, routes: Digest) -> bool {
+        self.record.borrow().turned_down(routes).is_some()
+    }
+
     /// The text of the routes with a digest, if they are in force.
     pub fn routes(&self, digest: Digest) -> Option<Rc<str>> {
         let routes = self.routes.borrow();
--- a/crates/heathroad/src/fleet/audit.rs
+++ b/crates/heathroad/src/fleet/audit.rs
@@ -98,6 +98,7 @@
     json!({
         "reached": true, "clock_off_ms": -off, "clock_error_ms": error, "since": here(told.since), "at": here(told.at),
         "pages": pages(ask, told, off), "lost": told.lost, "spells": spells(told, off),
+        "turned_down": told.turned_down,
     })
 }
 
@@ -146,5 +147,6 @@
         }
         members.push(member);
     }
-    json!({"fleet": views["fleet"], "asked": own, "at": acts.now(), "cut_off": views["cut_off"], "members": members})
+    json!({"fleet": views["fleet"], "asked": own, "at": acts.now(), "cut_off": views["cut_off"],
+        "wanted": views["wanted"], "members": members})
 }
--- a/crates/heathroad/src/fleet/mod.rs
+++ b/crates/heathroad/src/fleet/mod.rs
@@ -9,10 +9,11 @@
 
 use crate::configuration::fleet::Settings;
 use crate::effort::{sleep, sleep_until, spawn_local, timeout};
-use acts::Acts;
+use acts::{Acts, Committed};
 use heathroad_fleet::fleet::fetch::Unfetched;
 use heathroad_fleet::fleet::{Fleet, News};
 use heathroad_fleet::version::Digest;
+use heathroad_fleet::want::{Want, Wanted};
 use heathroad_fleet::wire::{MAX_DATAGRAM, Topic};
 use heathroad_fleet::{Millis, Place};
 use serde_json::{Value, json};
@@ -23,9 +24,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::Instant;
 
+/// A text of routes has so long to come.
+const PULL: Duration = Duration::from_secs(30);
 /// Datagrams that are read in one turn, so that requests get theirs.
 const TURN: usize = 64;
 /// News that is kept to be asked for.
@@ -47,6 +50,9 @@
     waiting: RefCell<HashMap<u32, Waiting>>,
     news: RefCell<VecDeque<(u64, News)>>,
     state: Option<PathBuf>,
+    /// A proxy that has confirmed nothing for so long does not know what is required.
+    sure_for: Option<Duration>,
+    wanted: watch::Sender<Wanted>,
 }
 
 impl Peers {
@@ -57,15 +63,28 @@
         acts: Rc<Acts>,
         state: Option<PathBuf>,
     ) -> Result<Rc<Peers>, String> {
-        let Settings { name, seal, listen, addresses, own, terms, .. } = settings;
+        let Settings { name, seal, listen, addresses, own, terms, sure_for, .. } = settings;
         let socket = UdpSocket::bind(listen).await.map_err(|e| format!("fleet: {listen}: {e}"))?;
         let members = u16::try_from(addresses.len()).map_err(|_| "fleet: too many peers".to_string())?;
         let mut fleet = Fleet::new(0, seal, own, members, acts.life(), seed, terms);
         fleet.act_on(acts.version());
         let (fleet, started) = (RefCell::new(fleet), Instant::now());
+        let wanted = watch::Sender::new(Wanted::Nothing);
         let (stirred, waiting, news) = (Notify::new(), RefCell::default(), RefCell::default());
-        let peers =
-            Rc::new(Peers { name, fleet, socket, addresses, acts, started, stirred, waiting, news, state });
+        let peers = Rc::new(Peers {
+            name,
+            fleet,
+            socket,
+            addresses,
+            acts,
+            started,
+            stirred,
+            waiting,
+            news,
+            state,
+            sure_for,
+            wanted,
+        });
         spawn_local(peers.clone().run());
         if let Some(folder) = peers.state.clone() {
             spawn_local(file::keep(folder, peers.acts.clone()));
@@ -84,7 +103,7 @@
             tokio::select! {
                 biased;
                 _ = self.socket.readable() => self.read(),
-                () = self.acts.changed() => self.fleet.borrow_mut().act_on(self.acts.version()),
+                () = self.acts.changed() => {}
                 () = self.stirred.notified() => {}
                 () = sleep_until(due) => {
                     // What has come counts before it is said that nothing has.
@@ -93,10 +112,35 @@
                     self.fleet.borrow_mut().tick(now);
                 }
             }
+            self.look_at_acts();
             self.carry_out();
         }
     }
 
+    /// What this proxy acts on, for its fellows; and what is required, for its acts.
+    fn look_at_acts(&self) {
+        let (now, mut fleet) = (self.now(), self.fleet.borrow_mut());
+        fleet.act_on(self.acts.version());
+        if let Some(Committed { number, digest, within }) = self.acts.committed() {
+            fleet.want(now, number, digest, within);
+        }
+        let instant = |at: Millis| self.started + Duration::from_millis(at);
+        let wanted = fleet.table().wanted();
+        self.acts.known(fleet.table().highest_generation());
+        self.acts.require(match wanted {
+            Wanted::One(Want { digest, required: Some(at), .. }) => Some((digest, instant(at))),
+            _ => None,
+        });
+        if let Some(sure_for) = self.sure_for {
+            let confirmed = fleet.confirmed().filter(|_| fleet.majority());
+            self.acts.sure_until(confirmed.map(|at| instant(at) + sure_for));
+        }
+        drop(fleet);
+        self.wanted.send_if_modified(|known| std::mem::replace(known, wanted) != wanted);
+        // Its being fenced begins and ends also while nothing is asked of it.
+        self.acts.fenced();
+    }
+
     fn read(&self) {
         let mut bytes = [0; MAX_DATAGRAM + 1];
         for _ in 0..TURN {
@@ -165,6 +209,14 @@
                 eprintln!("heathroad: fleet: was taken for gone, goes on in life {life}")
             }
             News::Woke { after } => eprintln!("heathroad: fleet: did nothing for {after} ms"),
+            News::Wanted { number, digest } => {
+                eprintln!("heathroad: fleet: generation {number} is wanted, digest {digest}")
+            }
+            News::Conflict { number, digests: [a, b] } => {
+                eprintln!(
+                    "heathroad: fleet: generation {number} was committed twice, {a} and {b}: neither is spread"
+                )
+            }
             News::CutOff => eprintln!("heathroad: fleet: nobody is heard"),
             News::Heard => eprintln!("heathroad: fleet: somebody is heard again"),
             News::Acts { .. } => {}
@@ -184,6 +236,23 @@
         self.carry_out();
     }
 
+    /// What all are to act on.
+    pub fn wanted(&self) -> watch::Receiver<Wanted> {
+        self.wanted.subscribe()
+    }
+
+    /// What this proxy acts on.
+    pub fn acts(&self) -> &Rc<Acts> {
+        &self.acts
+    }
+
+    /// The text of routes, from some member that acts on them, by chance; nothing where none is known, or none came.
+    pub async fn pull(&self, routes: Digest) -> Option<String> {
+        let from = self.fleet.borrow_mut().source_of(routes)?;
+        let text = self.fetch(from, Topic::Routes, routes, PULL).await.ok()?;
+        String::from_utf8(text).ok()
+    }
+
     /// Fetches a text from a member, with how long it took until its first word was asked for and came.
     async fn fetch(
         &self,
@@ -224,6 +293,7 @@
             self.news.borrow().iter().map(|(at, n)| json!({"at": at, "news": n})).collect();
         json!({
             "fleet": self.name, "place": fleet.own(), "at": self.acts.now(), "cut_off": fleet.cut_off(),
+            "wanted": fleet.table().wanted(), "fenced": self.acts.fenced(),
             "silent_ms": fleet.silent_for(now), "doubt": fleet.doubt(), "traffic": fleet.traffic(),
             "members": members, "news": news,
         })
--- a/crates/heathroad/src/front/http.rs
+++ b/crates/heathroad/src/front/http.rs
@@ -1,11 +1,11 @@
 //! Requests over HTTP: takes them, checks them, and writes each one's answer.
 
-use super::room::{ARRIVE, Held, Room, SPARE, Seat, Seated, Stage, Taken, away};
+use super::room::{ARRIVE, Held, Room, SPARE, Seat, Seated, Stage, Taken};
 use crate::backend::http::{self, DEADLINE, ID, KEY};
 use crate::backend::{Call, MAX_BODY};
 use crate::budget::{self, Books, SPENT};
 use crate::effort::{sleep, spawn_in, timeout_at};
-use crate::engine::{self, Answer, Incoming};
+use crate::engine::{self, Answer, Incoming, away};
 use crate::fleet::acts;
 use crate::router::{Ask, Bound, Router};
 use crate::stream::Watched;
--- a/crates/heathroad/src/front/room.rs
+++ b/crates/heathroad/src/front/room.rs
@@ -1,6 +1,5 @@
 //! What callers hold of the proxy: places, bytes, ids. Whoever is seated may be asked to leave for those who wait.
 
-use crate::engine::millis;
 use crate::stream::Progress;
 use hyper::header::HeaderValue;
 use std::cell::{Cell, RefCell};
@@ -9,7 +8,6 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
-use turnshift::settings::Facts;
 
 /// A head must have come whole so long after its first byte, and a body after its head. A connection's first
 /// request must have come so long after the connect: whoever sends nothing, or sends for ever, is not waited for.
@@ -18,8 +16,6 @@
 const REST: Duration = Duration::from_secs(60);
 /// Connections past the limit, taken only to be refused at once.
 pub const SPARE: usize = 16;
-/// Who is refused for want of room is told to stay away so long, where that is told.
-const AWAY: f64 = 500.0;
 
 /// What has become of a caller's present request.
 #[derive(Clone, Copy, PartialEq)]
@@ -216,9 +212,3 @@
         self.0.taken.set(self.0.taken.get() - 1);
     }
 }
-
-/// How long who is refused for want of room should stay away, where that is told.
-pub fn away(facts: &Facts) -> Option<Duration> {
-    let caps = &facts.settings.caps;
-    caps.retry_after.then(|| millis(AWAY.min(caps.max_retry_after)))
-}
--- a/crates/heathroad/src/front/rpc.rs
+++ b/crates/heathroad/src/front/rpc.rs
@@ -4,12 +4,12 @@
 //! own. What is read ahead is bounded by the calls in work and the answers that wait to be read.
 
 use super::pace::Pace;
-use super::room::{Guest, Room, SPARE as SPARE_PLACES, Stock, Taken, away};
+use super::room::{Guest, Room, SPARE as SPARE_PLACES, Stock, Taken};
 use crate::backend::{Call as Outward, rpc};
 use crate::budget::{self, Books};
 use crate::counts::Final;
 use crate::effort::{self, sleep, sleep_until, spawn_in, timeout};
-use crate::engine::{self, Answer, Incoming, millis};
+use crate::engine::{self, Answer, Incoming, away, millis};
 use crate::router::many::Many;
 use crate::router::{Ask, Bound};
 use bytes::{Buf, Bytes, BytesMut};
--- a/crates/heathroad/src/lib.rs
+++ b/crates/heathroad/src/lib.rs
@@ -44,7 +44,7 @@
 use heathroad_routing::transaction::Event;
 use operation::admin;
 use router::many::Many;
-use router::{Router, start as routed};
+use router::{Router, start as routed, straggler};
 use std::hash::{BuildHasher, Hasher, RandomState};
 use std::io::Write;
 use std::net::SocketAddr;
@@ -171,7 +171,7 @@
             eprintln!("heathroad: fleet: record: {e}");
             None
         });
-        Acts::new(config.digest, before.flatten(), fleet.tells_backends)
+        Acts::new(config.digest, before.flatten(), fleet.tells_backends, fleet.sure_for)
     });
     let site = &config.facts.site;
     let pool = Rc::new(Pool::new(backend::Limits {
@@ -197,6 +197,9 @@
         Some((fleet, acts)) => Some(Peers::begin(fleet, config.seed, acts, config.state.clone()).await?),
         None => None,
     };
+    if let (Some(peers), Router::Many(many)) = (&peers, &*router) {
+        spawn_local(straggler::follow(Rc::downgrade(many), peers.clone(), config.seed));
+    }
     eprintln!("heathroad: listening on {bound}");
     if let Some(address) = config.admin {
         let listener = TcpListener::bind(address).await.map_err(|e| format!("admin: {address}: {e}"))?;
--- a/crates/heathroad/src/operation/admin.rs
+++ b/crates/heathroad/src/operation/admin.rs
@@ -129,13 +129,19 @@
         },
         ("/config/undo", Router::Many(many)) => told(&many.handle(Event::Undo("asked for".into()))),
         (_, Router::Many(many)) => {
+            let within =
+                head.uri.query().map(|q| q.strip_prefix("required_ms=").and_then(|n| n.parse().ok()));
+            let Ok(within) = within.map_or(Ok(None), |n: Option<u64>| n.map(Some).ok_or(())) else {
+                let why = "expected required_ms=MILLISECONDS, or nothing";
+                return said(StatusCode::BAD_REQUEST, TEXT, why.into());
+            };
             let body = Limited::new(body, MAX_BODY).collect().await.map(|b| b.to_bytes());
             let Ok(text) = body.map_err(|_| ()).and_then(|b| String::from_utf8(b.to_vec()).map_err(|_| ()))
             else {
                 let why = format!("a configuration is UTF-8 text of {MAX_BODY} bytes at most");
                 return said(StatusCode::PAYLOAD_TOO_LARGE, TEXT, why);
             };
-            match many.propose("apply", &text).await {
+            match many.propose("apply", &text, within).await {
                 Ok(list) => told(&list),
                 Err(wrong) => said(StatusCode::UNPROCESSABLE_ENTITY, TEXT, wrong),
             }
--- a/crates/heathroad/src/operation/cli.rs
+++ b/crates/heathroad/src/operation/cli.rs
@@ -56,6 +56,10 @@
     Apply {
         /// The TOML file.
         file: PathBuf,
+        /// Once committed, it is required of the whole fleet within this time, such as 90s, 5m, 2h: a proxy that does not act on it by
+        /// then binds no requests.
+        #[arg(long, value_name = "TIME")]
+        required_within: Option<String>,
         #[command(flatten)]
         at: At,
     },
--- a/crates/heathroad/src/operation/commands.rs
+++ b/crates/heathroad/src/operation/commands.rs
@@ -24,7 +24,9 @@
         }
         Some(Command::Fleet(ask)) => (fleet::ask(&ask).and_then(|text| say(&text)), ExitCode::FAILURE),
         Some(Command::Diff { from, to }) => (diff(&from, &to), ExitCode::from(BAD_INPUT)),
-        Some(Command::Apply { file, at }) => (apply(&file, at.admin), ExitCode::FAILURE),
+        Some(Command::Apply { file, required_within, at }) => {
+            (apply(&file, required_within.as_deref(), at.admin), ExitCode::FAILURE)
+        }
         Some(Command::Status { at }) => (ask(at.admin, Method::GET, "/config/status"), ExitCode::FAILURE),
         Some(Command::Undo { at }) => (ask(at.admin, Method::POST, "/config/undo"), ExitCode::FAILURE),
     };
@@ -81,9 +83,12 @@
     }
 }
 
-fn apply(file: &Path, admin: Option<SocketAddr>) -> Result<(), String> {
+fn apply(file: &Path, within: Option<&str>, admin: Option<SocketAddr>) -> Result<(), String> {
+    let within =
+        within.map(|t| fleet::millis(t).map_err(|e| format!("--required-within: {e}"))).transpose()?;
+    let path = within.map_or("/config/apply".to_string(), |ms| format!("/config/apply?required_ms={ms}"));
     let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
-    say(&remote::call(admin, Method::POST, "/config/apply", text)?)
+    say(&remote::call(admin, Method::POST, &path, text)?)
 }
 
 fn ask(admin: Option<SocketAddr>, method: Method, path: &str) -> Result<(), String> {
--- a/crates/heathroad/src/operation/fleet.rs
+++ b/crates/heathroad/src/operation/fleet.rs
@@ -45,25 +45,28 @@
     if how.json { Ok(text) } else { json(&text).map(|v| words(&v)) }
 }
 
-/// Unix time in milliseconds, from that or from how long ago.
-fn time(text: &str) -> Result<u64, String> {
-    let wrong =
-        || format!("{text:?}: expected Unix time in milliseconds, or how long ago, such as 90s, 5m, 2h");
-    let (digits, unit) = match text.char_indices().find(|(_, c)| !c.is_ascii_digit()) {
-        Some((at, _)) => text.split_at(at),
-        None => (text, ""),
-    };
+/// A time span such as 90s, 5m or 2h, in milliseconds.
+pub fn millis(text: &str) -> Result<u64, String> {
+    let wrong = || format!("{text:?}: expected a time such as 90s, 5m, 2h");
+    let (digits, unit) = text.split_at_checked(text.len().saturating_sub(1)).ok_or_else(wrong)?;
     let number: u64 = digits.parse().map_err(|_| wrong())?;
-    let seconds = match unit {
-        "" => return Ok(number),
-        "s" => 1,
-        "m" => 60,
-        "h" => 3600,
+    let unit = match unit {
+        "s" => 1_000,
+        "m" => 60_000,
+        "h" => 3_600_000,
         _ => return Err(wrong()),
     };
+    number.checked_mul(unit).ok_or_else(wrong)
+}
+
+/// Unix time in milliseconds, from that or from how long ago.
+fn time(text: &str) -> Result<u64, String> {
+    if let Ok(unix) = text.parse() {
+        return Ok(unix);
+    }
+    let ago = millis(text).map_err(|e| format!("{e}; or Unix time in milliseconds"))?;
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
-    let ago = u128::from(number) * seconds * 1000;
-    u64::try_from(now.saturating_sub(ago)).map_err(|_| wrong())
+    Ok(u64::try_from(now).unwrap_or(u64::MAX).saturating_sub(ago))
 }
 
 /// A time span, in the unit that suits it.
@@ -106,7 +109,22 @@
 
 fn heading(answer: &Value, asked: &Value) -> String {
     let alone = if answer["cut_off"] == true { "; IT HEARS NOBODY" } else { "" };
-    format!("fleet {}, asked of member {asked}{alone}", text(&answer["fleet"]))
+    let wanted = &answer["wanted"];
+    let wanted = match wanted["is"].as_str() {
+        Some("one") => {
+            let required = if wanted["required"].is_null() { "" } else { ", required" };
+            format!("; wanted: routes {} ({}){required}", wanted["number"], text(&wanted["digest"]))
+        }
+        Some("both") => {
+            let [one, other] = [0, 1].map(|n| text(&wanted["digests"][n]));
+            format!(
+                "; CONFLICT: routes {} were committed as {one} and as {other}, neither is spread",
+                wanted["number"]
+            )
+        }
+        _ => String::new(),
+    };
+    format!("fleet {}, asked of member {asked}{wanted}{alone}", text(&answer["fleet"]))
 }
 
 fn members(answer: &Value) -> String {
@@ -206,8 +224,16 @@
                 a["failed"]
             );
         }
+        for t in m["turned_down"].as_array().into_iter().flatten() {
+            let (number, digest) = (&t["generation"], text(&t["routes"]));
+            let _ = write!(out, "\n    turned routes {number} ({digest}) down: {}", text(&t["why"]));
+        }
         for s in m["spells"].as_array().into_iter().flatten() {
-            let what = if s["trouble"] == "cut_off" { "heard nobody" } else { "did nothing" };
+            let what = match s["trouble"].as_str() {
+                Some("cut_off") => "heard nobody",
+                Some("stalled") => "did nothing",
+                _ => "fenced, bound no requests",
+            };
             let _ = write!(out, "\n    {} to {}: {what}", ago(&s["from"]), ago(&s["to"]));
         }
     }
--- a/crates/heathroad/src/operation/lanes.rs
+++ b/crates/heathroad/src/operation/lanes.rs
@@ -86,8 +86,11 @@
         }
         for s in m["spells"].as_array().into_iter().flatten() {
             let (from, to) = (s["from"].as_u64().unwrap_or(at).max(begin), s["to"].as_u64().unwrap_or(at));
-            let (colour, what) =
-                if s["trouble"] == "cut_off" { ("#cc0000", "cut off") } else { ("black", "stalled") };
+            let (colour, what) = match s["trouble"].as_str() {
+                Some("cut_off") => ("#cc0000", "cut off"),
+                Some("stalled") => ("black", "stalled"),
+                _ => ("#ff9900", "fenced"),
+            };
             let _ = write!(
                 out,
                 "<rect x=\"{:.1}\" y=\"{}\" width=\"{:.1}\" height=\"5\" fill=\"{colour}\"><title>{what}</title></rect>",
@@ -118,7 +121,7 @@
     let y = below + 12.0 + LANE * kinds.len() as f64;
     let _ = write!(
         out,
-        "<text x=\"{LEFT}\" y=\"{}\">hatched: not known; red below: heard nobody; black below: stalled</text></svg>",
+        "<text x=\"{LEFT}\" y=\"{}\">hatched: not known; below: red heard nobody, black stalled, orange fenced</text></svg>",
         y + 13.0
     );
     out
--- a/crates/heathroad/src/router/change.rs
+++ b/crates/heathroad/src/router/change.rs
@@ -71,6 +71,7 @@
                     if let Some(acts) = &self.base.acts {
                         match told {
                             Said::Applied(_) => acts.act(Act::Applied),
+                            Said::Committed(number) => self.committed(number),
                             Said::Undone { .. } => acts.act(Act::Undone),
                             _ => {}
                         }
@@ -143,9 +144,45 @@
         self.share_cold();
     }
 
-    /// Proposes a text as a change; what is wrong with it, or what is said of it.
-    pub async fn propose(self: &Rc<Self>, file: &str, text: &str) -> Result<Vec<Said>, String> {
-        let generation = Generation::read(0, file, text).map_err(|e| e.to_string())?;
+    /// The fleet is to hear of what was committed.
+    fn committed(&self, number: u64) {
+        let current = self.changer.borrow().current().clone();
+        let within = self.within.take().filter(|(text, _)| *text == current.digest).map(|(_, within)| within);
+        if let Some(acts) = self.base.acts.as_ref().filter(|_| current.number == number) {
+            acts.commit(number, &current.text, within);
+        }
+    }
+
+    /// Proposes a text as a change; what is wrong with it, or what is said of it. Once committed, it may be required of the whole fleet
+    /// within so many milliseconds.
+    pub async fn propose(
+        self: &Rc<Self>,
+        file: &str,
+        text: &str,
+        within: Option<u64>,
+    ) -> Result<Vec<Said>, String> {
+        if let Some(within) = within {
+            let none = "a change is required of a fleet, and this daemon's file names none";
+            let least = self.base.acts.as_ref().ok_or(none)?.least_required();
+            if within < least {
+                return Err(format!(
+                    "required within {within} ms; expected {least} at least, after which proxies know of it or \
+                    fence themselves"
+                ));
+            }
+        }
+        let said = self.take(file, text, 0).await?;
+        let staged = said.iter().any(|s| matches!(s, Said::Staging(_)));
+        if let Some(within) = within.filter(|_| staged) {
+            let digest = Generation::read(0, file, text).map(|g| g.digest.clone()).unwrap_or_default();
+            self.within.replace(Some((digest, within)));
+        }
+        Ok(said)
+    }
+
+    /// Takes a text under the number that the fleet knows it by, or, at 0, under one of its own.
+    pub async fn take(self: &Rc<Self>, file: &str, text: &str, number: u64) -> Result<Vec<Said>, String> {
+        let generation = Generation::read(number, file, text).map_err(|e| e.to_string())?;
         crate::configuration::routes::rounds(&generation, self.base.listens)?;
         let expected = self.base.gate.as_ref().map(Gate::expected).transpose()?;
         if let Some(expected) = &expected {
@@ -165,6 +202,11 @@
         if !open {
             self.expected.replace(expected);
         }
+        if let Some(acts) = &self.base.acts {
+            // One number is to mean one text in the whole fleet.
+            let given = if number > 0 { number - 1 } else { acts.highest() };
+            self.changer.borrow_mut().given(given);
+        }
         Ok(self.handle(Event::Propose(generation)))
     }
 
--- a/crates/heathroad/src/router/many.rs
+++ b/crates/heathroad/src/router/many.rs
@@ -108,6 +108,8 @@
     pub(super) journal: RefCell<Option<Journal<Folder>>>,
     /// What is expected of the change under way.
     pub(super) expected: RefCell<Option<Expected>>,
+    /// The digest of a change that is required once it is committed, and within how many milliseconds.
+    pub(super) within: RefCell<Option<(String, u64)>>,
     /// Grows with all that is heard of nodes.
     pub(super) news: Cell<u64>,
     pub(super) told: RefCell<VecDeque<String>>,
@@ -146,12 +148,16 @@
             changer: RefCell::new(changer),
             journal: RefCell::new(journal),
             expected: RefCell::default(),
+            within: RefCell::default(),
             news: Cell::default(),
             told: RefCell::default(),
             started: Instant::now(),
         });
         many.open_doors(&first)?;
         many.activate(&first)?;
+        if let Some(acts) = &many.base.acts {
+            acts.commit(first.number, &first.text, None);
+        }
         let ticking = Rc::downgrade(&many);
         let tick = Duration::from_millis(many.base.terms.probation / PARTS).clamp(TICK[0], TICK[1]);
         spawn_local(async move {
--- a/crates/heathroad/src/router/mod.rs
+++ b/crates/heathroad/src/router/mod.rs
@@ -6,6 +6,7 @@
 pub mod many;
 mod registry;
 pub mod start;
+pub mod straggler;
 
 use crate::backend::rpc::Way;
 use crate::counts::{Meter, Moment};
@@ -83,6 +84,14 @@
 impl Router {
     /// Whether requests can be decided.
     pub fn ready(&self) -> bool {
+        let fenced = match self {
+            Router::One(engine) => engine.fenced(),
+            Router::Many(many) => many.base.acts.as_ref().is_some_and(|a| a.fenced()),
+        };
+        !fenced && self.has_backends()
+    }
+
+    fn has_backends(&self) -> bool {
         match self {
             Router::One(engine) => engine.ready(),
             Router::Many(many) => many.current.borrow().runs.iter().any(|r| r.engine.ready()),
--- a/crates/heathroad/src/router/start.rs
+++ b/crates/heathroad/src/router/start.rs
@@ -101,7 +101,7 @@
 pub async fn reload(file: PathBuf, many: Rc<Many>) {
     let name = file.display().to_string();
     let proposed = match std::fs::read_to_string(&file).map_err(|e| format!("{name}: {e}")) {
-        Ok(text) => many.propose(&name, &text).await,
+        Ok(text) => many.propose(&name, &text, None).await,
         Err(e) => Err(e),
     };
     if let Err(e) = proposed {
