Events as structured lines by tracing: text or JSON, bounded a minute

RELAY_LOG=text (as before, word for word) or json (time, level, message and the event's fields); 600 lines a minute at most, and how many were left out is told with the next. tracing and tracing-subscriber without environment filters, so that no regular expressions come along.

--- a/crates/heathroad/src/discovery/mod.rs
+++ b/crates/heathroad/src/discovery/mod.rs
@@ -69,7 +69,7 @@
             }
             Err(e) => {
                 if pause == BACKOFF[0] {
-                    eprintln!("heathroad: discovery: {e}");
+                    tracing::warn!("discovery: {e}");
                 }
                 link = None;
                 if must_ask {
--- a/crates/heathroad/src/discovery/roster.rs
+++ b/crates/heathroad/src/discovery/roster.rs
@@ -64,7 +64,7 @@
             }
         }
         if bad > 0 {
-            eprintln!("heathroad: discovery: {bad} entries passed over, such as {example}");
+            tracing::warn!("discovery: {bad} entries passed over, such as {example}");
         }
         good
     }
--- a/crates/heathroad/src/engine/mod.rs
+++ b/crates/heathroad/src/engine/mod.rs
@@ -436,7 +436,7 @@
             if h.health == Health::Deleted {
                 return Some(Entry { backend, phase: Phase::Gone, ..Entry::default() });
             }
-            eprintln!("heathroad: discovery: {}: zone {:?} is unknown, passed over", h.host, h.site);
+            tracing::warn!("discovery: {}: zone {:?} is unknown, passed over", h.host, h.site);
             return None;
         };
         let phase = match h.health {
--- a/crates/heathroad/src/fleet/acts.rs
+++ b/crates/heathroad/src/fleet/acts.rs
@@ -195,7 +195,7 @@
                 false => record.spell_over(trouble, from),
             }
             let what = if fenced { "fenced: no request is bound" } else { "no longer fenced" };
-            eprintln!("heathroad: fleet: {what}");
+            tracing::warn!(fenced, "fleet: {what}");
         }
         fenced
     }
--- a/crates/heathroad/src/fleet/file.rs
+++ b/crates/heathroad/src/fleet/file.rs
@@ -57,7 +57,7 @@
             if let Err(e) = &done
                 && !failing
             {
-                eprintln!("heathroad: fleet: record: {}: {e}", folder.display());
+                tracing::warn!("fleet: record: {}: {e}", folder.display());
             }
             failing = done.is_err();
             written = done.is_ok().then_some(told);
--- a/crates/heathroad/src/fleet/mod.rs
+++ b/crates/heathroad/src/fleet/mod.rs
@@ -26,6 +26,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::Instant;
+use tracing::{info, warn};
 
 /// A text of routes has so long to come.
 const PULL: Duration = Duration::from_secs(30);
@@ -198,27 +199,26 @@
             _ => {}
         }
         match news {
-            News::Up { member, life } => eprintln!("heathroad: fleet: member {member} is there, life {life}"),
+            News::Up { member, life } => info!(member, life, "fleet: member {member} is there, life {life}"),
             News::Suspected { member, by } => {
-                eprintln!("heathroad: fleet: member {member} is suspected by {by}")
+                info!(member, by, "fleet: member {member} is suspected by {by}")
             }
-            News::Refuted { member } => eprintln!("heathroad: fleet: member {member} is there after all"),
-            News::Gone { member } => eprintln!("heathroad: fleet: member {member} is gone"),
-            News::Left { member } => eprintln!("heathroad: fleet: member {member} has left"),
-            News::Reborn { life } => {
-                eprintln!("heathroad: fleet: was taken for gone, goes on in life {life}")
-            }
-            News::Woke { after } => eprintln!("heathroad: fleet: did nothing for {after} ms"),
+            News::Refuted { member } => info!(member, "fleet: member {member} is there after all"),
+            News::Gone { member } => warn!(member, "fleet: member {member} is gone"),
+            News::Left { member } => info!(member, "fleet: member {member} has left"),
+            News::Reborn { life } => warn!(life, "fleet: was taken for gone, goes on in life {life}"),
+            News::Woke { after } => warn!(after, "fleet: did nothing for {after} ms"),
             News::Wanted { number, digest } => {
-                eprintln!("heathroad: fleet: generation {number} is wanted, digest {digest}")
-            }
-            News::Conflict { number, digests: [a, b] } => {
-                eprintln!(
-                    "heathroad: fleet: generation {number} was committed twice, {a} and {b}: neither is spread"
-                )
+                info!(number, %digest, "fleet: generation {number} is wanted, digest {digest}")
             }
-            News::CutOff => eprintln!("heathroad: fleet: nobody is heard"),
-            News::Heard => eprintln!("heathroad: fleet: somebody is heard again"),
+            News::Conflict { number, digests: [a, b] } => warn!(
+                number,
+                %a,
+                %b,
+                "fleet: generation {number} was committed twice, {a} and {b}: neither is spread"
+            ),
+            News::CutOff => warn!("fleet: nobody is heard"),
+            News::Heard => info!("fleet: somebody is heard again"),
             News::Acts { .. } => {}
         }
     }
@@ -229,7 +229,7 @@
         if let Some(folder) = &self.state
             && let Err(e) = file::write(folder, &self.acts.told())
         {
-            eprintln!("heathroad: fleet: record: {}: {e}", folder.display());
+            tracing::warn!("fleet: record: {}: {e}", folder.display());
         }
         let now = self.now();
         self.fleet.borrow_mut().leave(now);
--- a/crates/heathroad/src/lib.rs
+++ b/crates/heathroad/src/lib.rs
@@ -76,6 +76,7 @@
 }
 
 fn start() -> Result<(), String> {
+    operation::log::begin()?;
     let config = configuration::load()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
@@ -138,7 +139,7 @@
 impl Lists {
     fn reload(&mut self, config: &Config) {
         let address = config.discovery;
-        eprintln!("heathroad: configuration read again, discovery at {address}");
+        tracing::info!(discovery = %address, "configuration read again, discovery at {address}");
         match self {
             Lists::One { engine, must_ask, wanted, following, address: old, acts } => {
                 // The old watch ends at once, with its connection and its version: the new address is asked for the
@@ -168,7 +169,7 @@
     let usable = config.sockets - RESERVED - admin - usize::from(config.fleet.is_some());
     let acts = config.fleet.as_ref().map(|fleet| {
         let before = config.state.as_deref().map(fleet::read).transpose().unwrap_or_else(|e| {
-            eprintln!("heathroad: fleet: record: {e}");
+            tracing::warn!("fleet: record: {e}");
             None
         });
         Acts::new(config.digest, before.flatten(), fleet.tells_backends, fleet.sure_for)
@@ -200,11 +201,11 @@
     if let (Some(peers), Router::Many(many)) = (&peers, &*router) {
         spawn_local(straggler::follow(Rc::downgrade(many), peers.clone(), config.seed));
     }
-    eprintln!("heathroad: listening on {bound}");
+    tracing::info!(address = %bound, "listening on {bound}");
     if let Some(address) = config.admin {
         let listener = TcpListener::bind(address).await.map_err(|e| format!("admin: {address}: {e}"))?;
         let bound = listener.local_addr().map_err(|e| format!("admin: {e}"))?;
-        eprintln!("heathroad: admin on {bound}");
+        tracing::info!(address = %bound, "admin on {bound}");
         spawn_local(admin::serve(listener, router.clone(), peers.clone(), descriptors));
     }
     let kept = router.clone();
@@ -240,11 +241,11 @@
         }
         match configuration::reload() {
             Ok(config) => source.reload(&config),
-            Err(e) => eprintln!("heathroad: configuration kept: {e}"),
+            Err(e) => tracing::warn!("configuration kept: {e}"),
         }
     }
     let engines = router.engines();
-    eprintln!("heathroad: stopping, {} requests open", engines.iter().map(|e| e.owed()).sum::<usize>());
+    tracing::info!("stopping, {} requests open", engines.iter().map(|e| e.owed()).sum::<usize>());
     if let Router::Many(many) = &*router {
         many.handle(Event::Stop);
     }
--- a/crates/heathroad/src/operation/mod.rs
+++ b/crates/heathroad/src/operation/mod.rs
@@ -6,4 +6,5 @@
 mod expect;
 mod fleet;
 mod lanes;
+pub mod log;
 mod remote;
--- a/crates/heathroad/src/router/change.rs
+++ b/crates/heathroad/src/router/change.rs
@@ -92,7 +92,7 @@
     }
 
     pub(super) fn tell(&self, line: String) {
-        eprintln!("heathroad: routes: {line}");
+        tracing::info!("routes: {line}");
         let mut told = self.told.borrow_mut();
         if told.len() == TOLD {
             told.pop_front();
--- a/crates/heathroad/src/router/many.rs
+++ b/crates/heathroad/src/router/many.rs
@@ -229,7 +229,7 @@
                 Ok::<_, std::io::Error>((TcpListener::from_std(socket)?, at))
             };
             let (socket, at) = open().map_err(|e| format!("listener {}: {}: {e}", l.name, l.address))?;
-            eprintln!("heathroad: listener {} on {at}", l.name);
+            tracing::info!(listener = l.name, address = %at, "listener {} on {at}", l.name);
             self.doors.borrow_mut().insert(key, Rc::new(socket));
         }
         Ok(())
--- a/crates/heathroad/src/router/start.rs
+++ b/crates/heathroad/src/router/start.rs
@@ -26,27 +26,22 @@
         match Journal::open(Folder::new(folder)) {
             Ok((opened, found)) => {
                 if let Some(note) = found.note {
-                    eprintln!("heathroad: state: {place}: {note}; they are cut off");
+                    tracing::warn!("state: {place}: {note}; they are cut off");
                 }
                 if let Some((number, applied)) = found.open {
                     let was = if applied { "on probation" } else { "staged" };
-                    eprintln!("heathroad: state: {place}: generation {number} was {was} and is not started");
+                    tracing::warn!("state: {place}: generation {number} was {was} and is not started");
                 }
                 if let Some((number, text)) = found.committed {
                     let kept = Generation::read(number, &format!("{place}"), &text);
                     let kept = kept.map_err(|e| format!("state: generation {number}: {e}"))?;
-                    eprintln!(
-                        "heathroad: state: {place}: starting on generation {number}, digest {}",
-                        kept.digest
-                    );
+                    tracing::info!("state: {place}: starting on generation {number}, digest {}", kept.digest);
                     first = Some(kept);
                 }
                 (journal, highest) = (Some(opened), found.highest.max(1));
             }
             Err(OpenError::Log(e)) => {
-                eprintln!(
-                    "heathroad: state: {place}: {e}; it is left as it is, and changes will not be kept"
-                );
+                tracing::info!("state: {place}: {e}; it is left as it is, and changes will not be kept");
             }
             Err(OpenError::Disk(e)) => return Err(format!("state: {place}: {e}")),
         }
@@ -55,8 +50,8 @@
     let first = match first {
         Some(kept) => {
             if std::fs::read_to_string(file).is_ok_and(|text| text != kept.text) {
-                eprintln!(
-                    "heathroad: routes: {} differs from what is committed; apply it to change that",
+                tracing::info!(
+                    "routes: {} differs from what is committed; apply it to change that",
                     file.display()
                 );
             }
@@ -105,6 +100,6 @@
         Err(e) => Err(e),
     };
     if let Err(e) = proposed {
-        eprintln!("heathroad: configuration kept: {e}");
+        tracing::warn!("configuration kept: {e}");
     }
 }
--- a/crates/heathroad/tests/admin.rs
+++ b/crates/heathroad/tests/admin.rs
@@ -208,3 +208,34 @@
         "{said}"
     );
 }
+
+/// Events are lines of JSON where that is asked for, with their fields; any other form is one clear line and no start.
+#[tokio::test]
+async fn events_as_lines_of_json() {
+    let orders = Arc::new(Orders::default());
+    let backend = Backend::start("a", &orders).await;
+    let discovery = Discovery::start(vec![backend.line("SERVING")]).await;
+    let file = std::env::temp_dir().join(format!("heathroad-log-{}.json", std::process::id()));
+    std::fs::write(&file, discovery.config(settings()).to_string()).expect("a file");
+    let start = |log: &str| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_heathroad"));
+        command.env("RELAY_CONFIG", &file).env("RELAY_LOG", log).env_remove("RELAY_LISTEN");
+        command.env_remove("RELAY_DISCOVERY").stderr(std::process::Stdio::piped()).spawn().expect("it starts")
+    };
+    let mut child = start("json");
+    let stderr = child.stderr.take().expect("piped");
+    let mut line = String::new();
+    std::io::BufRead::read_line(&mut std::io::BufReader::new(stderr), &mut line).expect("a line");
+    child.kill().and_then(|()| child.wait()).expect("it ends");
+    let told: Value = serde_json::from_str(&line).expect("JSON");
+    let address = told["address"].as_str().expect("a field");
+    assert_eq!(told["message"], format!("listening on {address}"));
+    assert_eq!((&told["level"], told["at"].is_u64()), (&"info".into(), true));
+    let bad = start("xml").wait_with_output().expect("it ends");
+    assert_eq!(
+        String::from_utf8_lossy(&bad.stderr),
+        "heathroad: RELAY_LOG: \"xml\": expected text or json\n"
+    );
+    assert_eq!(bad.status.code(), Some(1));
+    std::fs::remove_file(&file).expect("it is there");
+}
