A requirement outlives the change that follows it; quiet times are no stalls

Seen in the audit: 3 had been committed without a requirement, and a want had taken its deadline along when a higher one took its place (want.rs, Wanted::merge). Requirements are words of their own now: the three that ask for most, told in each datagram, met by a higher number or by the same text. The same audit showed stalls of seconds that nobody had: due() told of a gossip time long past once news came after a quiet time, and look_at_clock took that for a stall, dropping questions (fleet/mod.rs). It goes by what was planned at the last look.

--- a/crates/heathroad-fleet/src/fleet/mod.rs
+++ b/crates/heathroad-fleet/src/fleet/mod.rs
@@ -14,7 +14,7 @@
 use crate::seal::{Dropped, Seal};
 use crate::table::{Acts, Claim, Incarnation, Member, Merged, Standing, Table};
 use crate::version::{Digest, Version};
-use crate::want::{Want, Wanted};
+use crate::want::{Required, Want, Wanted};
 use crate::wire::{self, Head, Kind, MAX_DATAGRAM, SEAL, SPOKEN, Writer};
 use crate::{Millis, Place};
 use fetch::{Asked, Fetch, Served, Unfetched};
@@ -140,6 +140,11 @@
         /// The digest of its text.
         digest: Digest,
     },
+    /// From some time on nobody is to act on a lower generation.
+    Required {
+        /// The generation's number.
+        number: u64,
+    },
     /// Two texts were committed under one number.
     Conflict {
         /// The number.
@@ -226,6 +231,8 @@
     /// When somebody was last heard, by this proxy's clock.
     heard: Millis,
     confirmed: Option<Millis>,
+    /// When it was to be told of the time next, as things stood when it was told last.
+    planned: Millis,
     cut_off: bool,
     stopped: bool,
     traffic: Traffic,
@@ -274,6 +281,7 @@
             next_gossip: first,
             heard: now,
             confirmed: None,
+            planned: first,
             cut_off: false,
             stopped: false,
             traffic: Traffic::default(),
@@ -318,6 +326,7 @@
             self.next_gossip = now + self.terms.gossip;
             self.spread(now);
         }
+        self.planned = self.due().max(now);
     }
 
     /// What is to be sent since the last look.
@@ -363,8 +372,17 @@
 
     /// A generation was committed here, and is required of all within a time, if that is said.
     pub fn want(&mut self, now: Millis, number: u64, digest: Digest, within: Option<Millis>) {
-        let required = within.map(|within| now.saturating_add(within));
-        self.wanted(Wanted::One(Want { number, digest, by: self.own, required }));
+        self.wanted(Wanted::One(Want { number, digest, by: self.own }));
+        if let Some(within) = within {
+            self.required(Required { number, digest, at: now.saturating_add(within) });
+        }
+    }
+
+    fn required(&mut self, word: Required) {
+        if self.table.require(word) {
+            self.gossip.news(Topic::Wanted);
+            self.tell(News::Required { number: word.number });
+        }
     }
 
     fn wanted(&mut self, other: Wanted) {
@@ -467,7 +485,7 @@
     /// A proxy that was stopped, or got no time, finds all its waits over at once. Nothing follows from that: what others
     /// said meanwhile is not read yet.
     fn look_at_clock(&mut self, now: Millis) {
-        let late = now.saturating_sub(self.due());
+        let late = now.saturating_sub(self.planned);
         if late >= self.terms.period {
             self.probe = None;
             self.helping.clear();
--- a/crates/heathroad-fleet/src/fleet/receive.rs
+++ b/crates/heathroad-fleet/src/fleet/receive.rs
@@ -4,7 +4,7 @@
 use super::{Fleet, News};
 use crate::gossip::Topic;
 use crate::table::{Acts, Claim, Incarnation, Standing};
-use crate::want::{Conflict, Want, Wanted};
+use crate::want::{Conflict, Required, Want, Wanted};
 use crate::wire::{self, Head, Item, Kind, MAX_DATAGRAM};
 use crate::{Millis, Place};
 
@@ -15,6 +15,11 @@
             return;
         }
         self.look_at_clock(now);
+        self.take(now, bytes);
+        self.planned = self.due().max(now);
+    }
+
+    fn take(&mut self, now: Millis, bytes: &[u8]) {
         let Some((head, mut rest)) = self.seal.open(bytes, &mut self.traffic.dropped) else { return };
         let known = self.table.get(head.from).map(|m| m.incarnation.life);
         let Some(known) = known.filter(|_| head.to == self.own && head.from != self.own) else {
@@ -95,9 +100,9 @@
                     self.table.keep(version);
                 }
             }
-            Item::Want { number, digest, by, left } => {
-                let required = (left != u32::MAX).then(|| now + u64::from(left));
-                self.wanted(Wanted::One(Want { number, digest, by, required }));
+            Item::Want { number, digest, by } => self.wanted(Wanted::One(Want { number, digest, by })),
+            Item::Required { number, digest, left } => {
+                self.required(Required { number, digest, at: now + u64::from(left) });
             }
             Item::Conflict { number, digests } => {
                 if digests[0] != digests[1] {
--- a/crates/heathroad-fleet/src/gossip.rs
+++ b/crates/heathroad-fleet/src/gossip.rs
@@ -2,7 +2,7 @@
 //! in a datagram goes to old news by turns, so that whoever missed something hears it again.
 
 use crate::table::Table;
-use crate::want::{Conflict, Want, Wanted};
+use crate::want::{Conflict, Required, Want, Wanted};
 use crate::wire::Item;
 use crate::{Millis, Place};
 use std::collections::BTreeMap;
@@ -26,7 +26,7 @@
 
 impl Topic {
     /// What is known of it now: what is passed on is never older than that.
-    fn item(self, table: &Table, now: Millis) -> Option<Item> {
+    fn item(self, table: &Table) -> Option<Item> {
         match self {
             Topic::Standing(place) => table.claim(place).map(Item::Claim),
             Topic::Acts(member) => table.get(member)?.acts.map(|a| Item::Acts {
@@ -37,11 +37,7 @@
             }),
             Topic::Wanted => match table.wanted() {
                 Wanted::Nothing => None,
-                Wanted::One(Want { number, digest, by, required }) => {
-                    let left = |at: Millis| u32::try_from(at.saturating_sub(now)).unwrap_or(u32::MAX - 1);
-                    let left = required.map_or(u32::MAX, |at| left(at).min(u32::MAX - 1));
-                    Some(Item::Want { number, digest, by, left })
-                }
+                Wanted::One(Want { number, digest, by }) => Some(Item::Want { number, digest, by }),
                 Wanted::Both(Conflict { number, digests }) => Some(Item::Conflict { number, digests }),
             },
         }
@@ -70,15 +66,21 @@
     /// What a datagram to somebody should tell, the first the most: what it must know of itself, news, old news.
     pub fn items(&mut self, table: &Table, to: Place, now: Millis) -> Vec<(Option<Topic>, Item)> {
         let own = table.get(to).filter(|m| m.standing != crate::table::Standing::Alive);
-        let own = own.and_then(|_| Topic::Standing(to).item(table, now)).map(|item| (None, item));
+        let own = own.and_then(|_| Topic::Standing(to).item(table)).map(|item| (None, item));
         let mut hot: Vec<(u32, Topic)> = self.hot.iter().map(|(topic, told)| (*told, *topic)).collect();
         hot.sort_unstable();
         let known = hot.into_iter().map(|(_, topic)| topic).filter(|t| *t != Topic::Wanted);
         let known: Vec<Topic> = known.take(MOST).collect();
         let mut items: Vec<(Option<Topic>, Item)> = own.into_iter().collect();
         // Whoever is answered knows what is wanted from then on: there is always room for that.
-        items.extend(Topic::Wanted.item(table, now).map(|item| (Some(Topic::Wanted), item)));
-        items.extend(known.iter().filter_map(|t| Some((Some(*t), t.item(table, now)?))));
+        items.extend(Topic::Wanted.item(table).map(|item| (Some(Topic::Wanted), item)));
+        let left = |at: Millis| u32::try_from(at.saturating_sub(now)).unwrap_or(u32::MAX);
+        let required = table.required().all().iter();
+        items.extend(required.map(|r| {
+            let Required { number, digest, at } = *r;
+            (None, Item::Required { number, digest, left: left(at) })
+        }));
+        items.extend(known.iter().filter_map(|t| Some((Some(*t), t.item(table)?))));
         for _ in 0..table.places() {
             if items.len() >= MOST {
                 break;
@@ -86,7 +88,7 @@
             self.turn = (self.turn + 1) % table.places().max(1);
             let topics = [Topic::Standing(self.turn), Topic::Acts(self.turn)];
             let old = topics.iter().filter(|t| !known.contains(t));
-            items.extend(old.filter_map(|t| Some((None, t.item(table, now)?))));
+            items.extend(old.filter_map(|t| Some((None, t.item(table)?))));
         }
         items
     }
--- a/crates/heathroad-fleet/src/record.rs
+++ b/crates/heathroad-fleet/src/record.rs
@@ -225,6 +225,11 @@
         self.kept.borrow().digest
     }
 
+    /// The number of its version's routes.
+    pub fn generation(&self) -> u64 {
+        self.kept.borrow().version.generation
+    }
+
     /// The digest of its version's routes.
     pub fn routes(&self) -> Digest {
         self.kept.borrow().version.routes
--- a/crates/heathroad-fleet/src/table.rs
+++ b/crates/heathroad-fleet/src/table.rs
@@ -3,7 +3,7 @@
 
 use crate::seal::Window;
 use crate::version::{Digest, Version};
-use crate::want::Wanted;
+use crate::want::{Required, Requirements, Wanted};
 use crate::{Millis, Place};
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -129,6 +129,7 @@
     members: Vec<Member>,
     versions: BTreeMap<Digest, Version>,
     wanted: Wanted,
+    required: Requirements,
 }
 
 /// What became of a word.
@@ -167,6 +168,7 @@
             members: vec![unheard; usize::from(members)],
             versions: BTreeMap::new(),
             wanted: Wanted::Nothing,
+            required: Requirements::default(),
         }
     }
 
@@ -252,6 +254,16 @@
         self.wanted.merge(other)
     }
 
+    /// What is required.
+    pub fn required(&self) -> &Requirements {
+        &self.required
+    }
+
+    /// Takes a word on what is required; whether it is news.
+    pub fn require(&mut self, word: Required) -> bool {
+        self.required.merge(word)
+    }
+
     /// The highest number of a generation that anybody is known to have committed or to act on.
     pub fn highest_generation(&self) -> u64 {
         self.versions.values().map(|v| v.generation).max().unwrap_or(0).max(self.wanted.number())
--- a/crates/heathroad-fleet/src/want.rs
+++ b/crates/heathroad-fleet/src/want.rs
@@ -14,8 +14,52 @@
     pub digest: Digest,
     /// Where it was committed first.
     pub by: Place,
-    /// From when on nobody is to act on another, by this proxy's clock.
-    pub required: Option<Millis>,
+}
+
+/// From a time on nobody is to act on a generation below this one. It holds also once a higher one is wanted, which need not be
+/// required of anybody.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct Required {
+    /// The generation's number.
+    pub number: u64,
+    /// The digest of its text: whoever acts on that, under whatever number, does what is required.
+    pub digest: Digest,
+    /// From when on, by this proxy's clock.
+    pub at: Millis,
+}
+
+/// All that is required, as far as is known: the later a time, the higher its number.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+#[serde(transparent)]
+pub struct Requirements(Vec<Required>);
+
+/// Most requirements that are kept; the lowest go first.
+pub const MAX_REQUIRED: usize = 3;
+
+impl Requirements {
+    /// The lowest first.
+    pub fn all(&self) -> &[Required] {
+        &self.0
+    }
+
+    /// Takes a word on what is required; whether it is news.
+    pub fn merge(&mut self, word: Required) -> bool {
+        // What a higher one asks for sooner says nothing beside it; one that has lain in some message is told as a little later.
+        let covers = |r: &Required| r.number >= word.number && r.at <= word.at.saturating_add(NEAR);
+        if self.0.iter().any(covers) {
+            for r in self.0.iter_mut().filter(|r| r.number == word.number) {
+                r.at = r.at.min(word.at);
+            }
+            return false;
+        }
+        self.0.retain(|r| r.number > word.number || r.at < word.at && r.number < word.number);
+        self.0.push(word);
+        self.0.sort_by_key(|r| r.number);
+        if self.0.len() > MAX_REQUIRED {
+            self.0.remove(0);
+        }
+        true
+    }
 }
 
 /// Two texts under one number, the lower digest first.
@@ -40,7 +84,7 @@
     Both(Conflict),
 }
 
-/// A deadline that is sooner by less is no news: it has lain in some message for so long.
+/// A deadline that is sooner by less, in milliseconds, is no news: it has lain in some message for so long.
 const NEAR: Millis = 200;
 
 impl Wanted {
@@ -66,13 +110,6 @@
         digests.sort_unstable();
         digests.dedup();
         match (self, &digests[..]) {
-            (Wanted::One(mine), [_]) => {
-                let Wanted::One(theirs) = other else { return false };
-                let Some(theirs) = theirs.required else { return false };
-                let news = mine.required.is_none_or(|mine| theirs.saturating_add(NEAR) < mine);
-                mine.required = Some(mine.required.map_or(theirs, |mine| mine.min(theirs)));
-                news
-            }
             (mine, [one, another, ..]) => {
                 *mine = Wanted::Both(Conflict { number: mine.number(), digests: [*one, *another] });
                 *mine != was
--- a/crates/heathroad-fleet/src/wire.rs
+++ b/crates/heathroad-fleet/src/wire.rs
@@ -253,7 +253,14 @@
         digest: Digest,
         /// Where it was committed first.
         by: Place,
-        /// It is required within so many milliseconds; [`u32::MAX`] where it is not.
+    },
+    /// Within so many milliseconds nobody is to act on a lower generation.
+    Required {
+        /// The generation's number.
+        number: u64,
+        /// The digest of its text.
+        digest: Digest,
+        /// What is left of the time.
         left: u32,
     },
     /// Two texts that were committed under one number.
@@ -293,11 +300,16 @@
                 to.u8(bytes.len() as u8);
                 to.bytes(bytes);
             }
-            Item::Want { number, digest, by, left } => {
+            Item::Want { number, digest, by } => {
                 to.u8(5);
                 to.u64(*number);
                 to.bytes(&digest.0);
                 to.u16(*by);
+            }
+            Item::Required { number, digest, left } => {
+                to.u8(7);
+                to.u64(*number);
+                to.bytes(&digest.0);
                 to.u32(*left);
             }
             Item::Conflict { number, digests } => {
@@ -327,12 +339,8 @@
                 let length = usize::from(from.u8()?);
                 Ok(Item::Bytes(from.bytes(length)?.to_vec()))
             }
-            5 => Ok(Item::Want {
-                number: from.u64()?,
-                digest: Digest(from.array()?),
-                by: from.u16()?,
-                left: from.u32()?,
-            }),
+            5 => Ok(Item::Want { number: from.u64()?, digest: Digest(from.array()?), by: from.u16()? }),
+            7 => Ok(Item::Required { number: from.u64()?, digest: Digest(from.array()?), left: from.u32()? }),
             6 => {
                 let number = from.u64()?;
                 Ok(Item::Conflict { number, digests: [Digest(from.array()?), Digest(from.array()?)] })
--- a/crates/heathroad-rehearsal/src/ledger.rs
+++ b/crates/heathroad-rehearsal/src/ledger.rs
@@ -135,6 +135,8 @@
     pub class: u16,
     /// Its idempotency key.
     pub key: Option<u64>,
+    /// The digest of the version that it was bound by, where proxies tell.
+    pub version: Option<String>,
     /// When its first byte came.
     pub first_byte: Micros,
     /// When its last byte came.
@@ -253,6 +255,8 @@
     Started,
     /// Killed outright.
     Killed,
+    /// It did nothing for that time, and went on.
+    Stalled,
     /// Told to stop.
     Stopped,
     /// Told to read its configuration again.
--- a/crates/heathroad-rehearsal/src/lib.rs
+++ b/crates/heathroad-rehearsal/src/lib.rs
@@ -8,10 +8,12 @@
 //! - [`stage`]: puts it on. [`daemon`] runs the real processes, [`stand_in`] plays backends and registry, [`load`]
 //!   the clients (both over [`caller`] and [`http`], clients also over [`remote`]). All write [`ledger`]s by one [`clock`].
 //! - [`fleet`]: several daemons with a network between them, for plain tests, without a stage.
-//! - [`judge`]: a pure function from ledgers to a verdict. [`agreement`] sets it beside the daemon's own counts.
+//! - [`judge`]: a pure function from ledgers to a verdict. [`agreement`] sets it beside the daemon's own counts, [`audited`]
+//!   sets the fleet's audit beside what backends saw.
 //! - [`outcome`]: the two together with the void rules, as table, JSON and exit code; [`report`] as a page.
 
 pub mod agreement;
+pub mod audited;
 pub mod caller;
 pub mod cli;
 pub mod clock;
--- a/crates/heathroad-rehearsal/src/outcome.rs
+++ b/crates/heathroad-rehearsal/src/outcome.rs
@@ -2,6 +2,7 @@
 //! anything.
 
 use crate::agreement::{self, Line};
+use crate::audited;
 use crate::clock::{Micros, show};
 use crate::judge::{self, Rule, Terms, Verdict};
 use crate::stage::Seen;
@@ -261,6 +262,7 @@
             "changes_given_up" => Some(changes("given up")),
             "attempts_multiple" => Some(multiple(seen)),
             "loops_ended" => Some(counted(seen, |v| v["budget"]["loops"].as_f64())),
+            other if other.starts_with("fleet_") => audited::figure(seen, other),
             other => verdict.figure(other),
         };
         let Some(figure) = figure else { continue };
--- a/crates/heathroad-rehearsal/src/plan.rs
+++ b/crates/heathroad-rehearsal/src/plan.rs
@@ -299,6 +299,10 @@
     for c in &plan.scenario.change {
         hash.update(c.at_s.to_le_bytes());
         hash.update(&c.routes);
+        if plan.scenario.fleet.is_some() {
+            hash.update(c.on.as_deref().unwrap_or_default());
+            hash.update(c.required_ms.unwrap_or(0).to_le_bytes());
+        }
     }
     let mut text = String::new();
     for byte in hash.finalize().iter().take(8) {
--- a/crates/heathroad-rehearsal/src/scenario.rs
+++ b/crates/heathroad-rehearsal/src/scenario.rs
@@ -21,6 +21,9 @@
     ("chain-outage", include_str!("../../../rehearsals/chain-outage.toml")),
     ("chain-slow", include_str!("../../../rehearsals/chain-slow.toml")),
     ("loop", include_str!("../../../rehearsals/loop.toml")),
+    ("fleet-straggler", include_str!("../../../rehearsals/fleet-straggler.toml")),
+    ("fleet-split", include_str!("../../../rehearsals/fleet-split.toml")),
+    ("fleet-stall", include_str!("../../../rehearsals/fleet-stall.toml")),
     ("any-night", include_str!("../../../rehearsals/any-night.toml")),
     ("flood", include_str!("../../../rehearsals/flood.toml")),
     ("short", include_str!("../../../rehearsals/short.toml")),
@@ -53,7 +56,10 @@
     /// Routes and pools of the first tier's proxies, as the text of their file; else each has the one pool.
     #[serde(default)]
     pub routes: Option<String>,
-    /// Changes of these, proposed to every proxy of the first tier.
+    /// The first tier's proxies are a fleet, with the kit's network between them; else they know nothing of each other.
+    #[serde(default)]
+    pub fleet: Option<FleetRun>,
+    /// Changes of these, proposed to every proxy of the first tier, or to one.
     #[serde(default)]
     pub change: Vec<Change>,
     /// What goes wrong.
@@ -221,10 +227,27 @@
     pub depth: f64,
 }
 
+/// How proxies are a fleet.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FleetRun {
+    /// A period of their protocol: 100 to 60,000.
+    pub period_ms: u64,
+    /// A proxy that can't know what is required fences itself after so long.
+    #[serde(default)]
+    pub fence_unsure_after_ms: Option<u64>,
+}
+
 /// A change of routes.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Change {
+    /// The one proxy that it is proposed to, by name.
+    #[serde(default)]
+    pub on: Option<String>,
+    /// It is required of the fleet so long after its commit.
+    #[serde(default)]
+    pub required_ms: Option<u64>,
     /// When it is proposed, in seconds.
     pub at_s: f64,
     /// The text that is proposed.
@@ -344,6 +367,12 @@
     StopProxy,
     /// A proxy of the first tier reads a configuration that names another registry address.
     ReloadProxy,
+    /// A proxy of the first tier does nothing for a time, and goes on.
+    StallProxy,
+    /// Proxies of the first tier are cut off from their fellows, together, both ways.
+    CutProxy,
+    /// A proxy of the first tier hears none of its fellows, and is heard.
+    DeafProxy,
     /// The registry tells changes so many seconds later.
     RegistryLate,
     /// The registry fails all calls.
@@ -361,7 +390,15 @@
     }
     /// Whether it strikes proxies.
     pub fn strikes_proxies(self) -> bool {
-        matches!(self, What::KillProxy | What::StopProxy | What::ReloadProxy)
+        matches!(
+            self,
+            What::KillProxy
+                | What::StopProxy
+                | What::ReloadProxy
+                | What::StallProxy
+                | What::CutProxy
+                | What::DeafProxy
+        )
     }
     /// Its name in scenarios.
     pub fn name(self) -> &'static str {
@@ -381,6 +418,9 @@
             What::KillProxy => "kill-proxy",
             What::StopProxy => "stop-proxy",
             What::ReloadProxy => "reload-proxy",
+            What::StallProxy => "stall-proxy",
+            What::CutProxy => "cut-proxy",
+            What::DeafProxy => "deaf-proxy",
             What::RegistryLate => "registry-late",
             What::RegistryDown => "registry-down",
             What::RegistryDisorder => "registry-disorder",
@@ -489,6 +529,11 @@
     "loops_open",
     "loops_ended",
     "work_for_nobody",
+    "fleet_unreached",
+    "fleet_unaccounted",
+    "fleet_behind",
+    "fleet_past_bound",
+    "fleet_fenced",
 ];
 
 /// Reads a scenario by its shipped name or its file.
@@ -704,6 +749,23 @@
         if self.clients.remote > 0.0 && !self.routes.as_deref().unwrap_or_default().contains("\"remote\"") {
             return Err("clients.remote: `routes` have no listener \"remote\"".into());
         }
+        let ways = |f: &Fault| matches!(f.what, What::CutProxy | What::DeafProxy);
+        if let Some(i) = self.fault.iter().position(ways).filter(|_| self.fleet.is_none()) {
+            return Err(format!("fault[{i}]: there is no `fleet` to be cut"));
+        }
+        for (i, c) in self.change.iter().enumerate() {
+            let proxy = |name: &String| name.strip_prefix("proxy-").and_then(|n| n.parse::<u16>().ok());
+            if c.on.as_ref().is_some_and(|on| !proxy(on).is_some_and(|n| (1..=self.run.proxies).contains(&n)))
+            {
+                return Err(format!("change[{i}].on: {:?} is not on the stage", c.on));
+            }
+            if c.required_ms.is_some() && self.fleet.is_none() {
+                return Err(format!("change[{i}].required_ms: there is no `fleet` to require it of"));
+            }
+        }
+        if self.fleet.as_ref().is_some_and(|f| !(100..=60_000).contains(&f.period_ms)) {
+            return Err("fleet.period_ms: is not between 100 and 60000".into());
+        }
         if self.routes.is_none() && !self.change.is_empty() {
             return Err("change[0]: there are no `routes` to change".into());
         }
--- a/crates/heathroad-rehearsal/src/stand_in/backend.rs
+++ b/crates/heathroad-rehearsal/src/stand_in/backend.rs
@@ -417,6 +417,7 @@
             id,
             class,
             key: request.key,
+            version: request.version.clone(),
             first_byte,
             whole: clock.now(),
             work,
--- a/crates/heathroad-rehearsal/tests/judge.rs
+++ b/crates/heathroad-rehearsal/tests/judge.rs
@@ -49,6 +49,7 @@
         id,
         class,
         key: (class == KEYED).then_some(99),
+        version: None,
         first_byte: whole,
         whole,
         work: 1000,
--- a/crates/heathroad/src/fleet/acts.rs
+++ b/crates/heathroad/src/fleet/acts.rs
@@ -2,6 +2,7 @@
 
 use heathroad_fleet::record::{Act, Page, Record, Spell, Told, Trouble, TurnedDown, Unix};
 use heathroad_fleet::version::{Digest, Source, Version};
+use heathroad_fleet::want::Required;
 use heathroad_fleet::wire::SPOKEN;
 use hyper::header::HeaderValue;
 use std::cell::{Cell, RefCell};
@@ -27,7 +28,7 @@
 
     /// Whether an attempt may be sent for the request: not on routes past the time by which others are required.
     pub fn may(&self) -> bool {
-        self.acts.may_on(self.page.routes())
+        self.acts.may_on(self.page.generation(), self.page.routes())
     }
 
     /// What backends are told of the version, where they are.
@@ -57,13 +58,13 @@
     tells_backends: bool,
     base: Unix,
     started: Instant,
-    /// The digest and text of the routes in force, for those who ask.
-    routes: RefCell<(Digest, Rc<str>)>,
+    /// The number, digest and text of the routes in force.
+    routes: RefCell<(u64, Digest, Rc<str>)>,
     committed: Cell<Option<Committed>>,
     /// The highest number of a generation that is known in the fleet.
     highest: Cell<u64>,
-    /// From when on nobody is to act on other routes than these.
-    required: Cell<Option<(Digest, Instant)>>,
+    /// From when on nobody is to act on lower generations.
+    required: RefCell<Vec<(Required, Instant)>>,
     /// Where a proxy that can't know what is required fences itself: until when it does know.
     sure: Cell<Option<Instant>>,
     /// For how long it knows, after a fellow has answered it.
@@ -93,10 +94,10 @@
             tells_backends,
             base,
             started: Instant::now(),
-            routes: RefCell::new((Digest::default(), "".into())),
+            routes: RefCell::new((0, Digest::default(), "".into())),
             committed: Cell::default(),
             highest: Cell::default(),
-            required: Cell::default(),
+            required: RefCell::default(),
             sure: Cell::default(),
             sure_for,
             fenced: Cell::default(),
@@ -131,7 +132,7 @@
     /// A generation of routes is in force.
     pub fn in_force(&self, number: u64, text: &str) {
         let digest = Digest::of(text.as_bytes());
-        self.routes.replace((digest, text.into()));
+        self.routes.replace((number, digest, text.into()));
         self.change(|v| (v.generation, v.routes) = (number, digest));
     }
 
@@ -156,9 +157,9 @@
         self.highest.set(highest);
     }
 
-    /// From a time on nobody is to act on other routes than these.
-    pub fn require(&self, required: Option<(Digest, Instant)>) {
-        self.required.set(required);
+    /// From these times on nobody is to act on lower generations.
+    pub fn require(&self, required: Vec<(Required, Instant)>) {
+        self.required.replace(required);
     }
 
     /// The soonest that anything can be required, in milliseconds: where proxies that can't know what is required fence themselves,
@@ -172,21 +173,26 @@
         self.sure.set(until);
     }
 
-    /// Whether anything may be done on routes with a digest. The clock is looked at each time: a proxy that has stalled
-    /// finds out before its next act.
-    pub fn may_on(&self, routes: Digest) -> bool {
-        if self.required.get().is_none() && self.sure_for.is_none() {
+    /// Whether anything may be done on a generation of routes. The clock is looked at each time: a proxy that has stalled finds out
+    /// before its next act.
+    pub fn may_on(&self, generation: u64, routes: Digest) -> bool {
+        let required = self.required.borrow();
+        if required.is_empty() && self.sure_for.is_none() {
             return true;
         }
         let now = Instant::now();
-        let unmet = self.required.get().is_some_and(|(digest, at)| digest != routes && now >= at);
+        let unmet = |(r, at): &(Required, Instant)| generation < r.number && routes != r.digest && now >= *at;
         let unsure = self.sure_for.is_some() && self.sure.get().is_none_or(|until| now >= until);
-        !unmet && !unsure
+        !required.iter().any(unmet) && !unsure
     }
 
     /// Whether this proxy is fenced: it binds no request. The record tells from when to when.
     pub fn fenced(&self) -> bool {
-        let fenced = !self.may_on(self.routes.borrow().0);
+        let (number, digest) = {
+            let routes = self.routes.borrow();
+            (routes.0, routes.1)
+        };
+        let fenced = !self.may_on(number, digest);
         if self.fenced.replace(fenced) != fenced {
             let (trouble, from) = (Trouble::Fenced, self.now());
             let mut record = self.record.borrow_mut();
@@ -214,7 +220,7 @@
     /// The text of the routes with a digest, if they are in force.
     pub fn routes(&self, digest: Digest) -> Option<Rc<str>> {
         let routes = self.routes.borrow();
-        (routes.0 == digest && digest != Digest::default()).then(|| routes.1.clone())
+        (routes.1 == digest && digest != Digest::default()).then(|| routes.2.clone())
     }
 
     /// A change of routes has come into force, or was undone.
--- a/crates/heathroad/src/fleet/mod.rs
+++ b/crates/heathroad/src/fleet/mod.rs
@@ -13,7 +13,7 @@
 use heathroad_fleet::fleet::fetch::Unfetched;
 use heathroad_fleet::fleet::{Fleet, News};
 use heathroad_fleet::version::Digest;
-use heathroad_fleet::want::{Want, Wanted};
+use heathroad_fleet::want::Wanted;
 use heathroad_fleet::wire::{MAX_DATAGRAM, Topic};
 use heathroad_fleet::{Millis, Place};
 use serde_json::{Value, json};
@@ -128,10 +128,8 @@
         let instant = |at: Millis| self.started + Duration::from_millis(at);
         let wanted = fleet.table().wanted();
         self.acts.known(fleet.table().highest_generation());
-        self.acts.require(match wanted {
-            Wanted::One(Want { digest, required: Some(at), .. }) => Some((digest, instant(at))),
-            _ => None,
-        });
+        let required = fleet.table().required().all().iter();
+        self.acts.require(required.map(|r| (*r, instant(r.at))).collect());
         if let Some(sure_for) = self.sure_for {
             let confirmed = fleet.confirmed().filter(|_| fleet.majority());
             self.acts.sure_until(confirmed.map(|at| instant(at) + sure_for));
@@ -217,6 +215,7 @@
                 %b,
                 "fleet: generation {number} was committed twice, {a} and {b}: neither is spread"
             ),
+            News::Required { number } => info!(number, "fleet: generation {number} is required"),
             News::CutOff => warn!("fleet: nobody is heard"),
             News::Heard => info!("fleet: somebody is heard again"),
             News::Acts { .. } => {}
@@ -293,7 +292,7 @@
             self.news.borrow().iter().map(|(at, n)| json!({"at": at, "news": n})).collect();
         json!({
             "fleet": self.name, "place": fleet.own(), "at": self.acts.now(), "cut_off": fleet.cut_off(),
-            "wanted": fleet.table().wanted(), "fenced": self.acts.fenced(),
+            "wanted": fleet.table().wanted(), "required": fleet.table().required(), "fenced": self.acts.fenced(),
             "silent_ms": fleet.silent_for(now), "doubt": fleet.doubt(), "traffic": fleet.traffic(),
             "members": members, "news": news,
         })
--- a/crates/heathroad/src/operation/fleet.rs
+++ b/crates/heathroad/src/operation/fleet.rs
@@ -112,7 +112,9 @@
     let wanted = &answer["wanted"];
     let wanted = match wanted["is"].as_str() {
         Some("one") => {
-            let required = if wanted["required"].is_null() { "" } else { ", required" };
+            let all = answer["required"].as_array().map_or(&[][..], Vec::as_slice);
+            let required =
+                if all.iter().any(|r| r["number"] == wanted["number"]) { ", required" } else { "" };
             format!("; wanted: routes {} ({}){required}", wanted["number"], text(&wanted["digest"]))
         }
         Some("both") => {
