--- a/crates/heathroad-rehearsal/src/stage.rs
+++ b/crates/heathroad-rehearsal/src/stage.rs
@@ -342,17 +342,19 @@
         Ok(())
     }
 
-    async fn start_proxies(&self) -> Result<(), String> {
+    async fn start_proxies(self: &Rc<Self>) -> Result<(), String> {
         // The tier at the end first: who calls another must find it there.
         let mut order: Vec<usize> = (0..self.slots.len()).collect();
         order.sort_by_key(|i| std::cmp::Reverse(self.slots[*i].tier));
         for some in order.chunks(STARTS) {
-            let mut started = Vec::new();
+            // Together: where each waits for more than half of its fellows, none is ready alone.
+            let mut starting = JoinSet::new();
             for i in some {
-                started.push(self.start_proxy(*i as ProxyNo));
+                let (stage, no) = (self.clone(), *i as ProxyNo);
+                starting.spawn_local(async move { stage.start_proxy(no).await });
             }
-            for start in started {
-                start.await?;
+            while let Some(started) = starting.join_next().await {
+                started.map_err(|e| e.to_string())??;
             }
         }
         Ok(())
--- a/crates/heathroad-rehearsal/tests/stage.rs
+++ b/crates/heathroad-rehearsal/tests/stage.rs
@@ -156,3 +156,29 @@
     let cold = o.seen.ledgers.lives.iter().any(|l| !l.warm) && o.verdict.tries[0] > 0;
     assert!(cold, "a gate came back cold");
 }
+
+/// A fleet on the stage, one proxy of which stalls past the bound of a change: the audit equals what backends saw, nobody acts on
+/// an older generation past its bound, and the rules hold. Without a fleet there are no such figures.
+#[test]
+fn a_fleet_is_audited_beside_what_backends_saw() {
+    let o = sound(include_str!("../../../rehearsals/fleet-stall.toml"), 3);
+    assert!(o.verdict.breaches.is_empty() && o.agrees() && o.seen.troubles.is_empty(), "{}", o.table());
+    assert_eq!(o.expectations.len(), 7, "{}", o.table());
+    assert!(o.expectations.iter().all(|e| e.ok), "{}", o.table());
+    assert_eq!(o.seen.bounds.len(), 1, "one change was required");
+    assert!(o.seen.ledgers.acts.iter().any(|a| a.what == Did::Stalled));
+    let versions: std::collections::BTreeSet<_> =
+        o.seen.ledgers.arrivals.iter().filter_map(|a| a.version.clone()).collect();
+    assert!(versions.len() >= 2, "backends are told of versions: {versions:?}");
+    // An attempt that no page tells of is found, and one that no backend saw.
+    let mut seen = o.seen;
+    let extra = seen.ledgers.arrivals[0].clone();
+    seen.ledgers
+        .arrivals
+        .push(heathroad_rehearsal::ledger::Arrival { version: Some("other".into()), ..extra });
+    assert_eq!(heathroad_rehearsal::audited::figure(&seen, "fleet_unaccounted"), Some(1.0));
+    seen.ledgers.arrivals.clear();
+    assert!(heathroad_rehearsal::audited::figure(&seen, "fleet_unaccounted") > Some(100.0));
+    seen.audit = None;
+    assert_eq!(heathroad_rehearsal::audited::figure(&seen, "fleet_unaccounted"), None);
+}
