--- a/crates/heathroad-cost/src/case.rs
+++ b/crates/heathroad-cost/src/case.rs
@@ -22,6 +22,8 @@
     pub routes: bool,
     /// It keeps budgets.
     pub budget: bool,
+    /// It is one of a fleet, and keeps a record of its acts.
+    pub fleet: bool,
 }
 
 /// How callers go about it.
@@ -47,6 +49,7 @@
     declines: false,
     routes: false,
     budget: false,
+    fleet: false,
 };
 
 /// All of them.
@@ -62,6 +65,7 @@
     Case { name: "hang-up", about: "GET, left before its answer", way: Way::HangUp, ..PLAIN },
     Case { name: "routes", about: "GET by a file of routes", routes: true, ..PLAIN },
     Case { name: "budget", about: "GET with budgets kept", budget: true, ..PLAIN },
+    Case { name: "fleet", about: "GET with a record of acts kept", fleet: true, ..PLAIN },
     Case { name: "json-rpc", about: "a call over JSON-RPC", way: Way::Rpc, routes: true, ..PLAIN },
 ];
 
--- a/crates/heathroad-cost/src/subject.rs
+++ b/crates/heathroad-cost/src/subject.rs
@@ -184,9 +184,18 @@
         if case.budget {
             config["budget"] = json!({"name": "gate", "inner": [], "lends": false});
         }
+        let [fleet, key] = ["fleet", "key"].map(|e| std::env::temp_dir().join(format!("{name}.{e}")));
+        if case.fleet {
+            // Its one fellow is never there: what it asks of that one is next to nothing beside the requests.
+            write(&key, "a key that nobody else has")?;
+            write(&fleet, &format!("name = \"cost\"\nkey_file = {:?}\n", key.display().to_string()))?;
+            config["fleet"] = fleet.display().to_string().into();
+            config["peer_listen"] = "127.0.0.1:0".into();
+            config["peers"] = json!(["127.0.0.1:9", "127.0.0.1:9"]);
+        }
         write(&file, &config.to_string())?;
         let child = start("daemon", ("RELAY_CONFIG", &file.display().to_string()))?;
-        let mut subject = Subject::of(child, vec![file, routes])?;
+        let mut subject = Subject::of(child, vec![file, routes, fleet, key])?;
         if case.way == Way::Rpc {
             subject.at = address(&mut subject._log, "listener calls on ").await?;
         }
