An audit waits for nobody who is gone, tells clocks closer, and knows a cut at once

The audit asked members that are taken for gone too: half of a fleet of 300 would have held it for a minute, past the admin address's ten seconds. They are told as not there. Another's clock was bounded by how long its whole record took (0.6 s under loss); it is by the first part alone. A proxy cut off for five seconds did not know it: the silence that it waits for grew with its own doubt, and it could accuse others for as long; four periods now, whatever it doubts. A test holds an answer across a change: its acts stand under the version that it was bound to.

--- a/crates/heathroad-fleet/src/fleet/fetch.rs
+++ b/crates/heathroad-fleet/src/fleet/fetch.rs
@@ -33,6 +33,17 @@
     Spoilt,
 }
 
+/// A text that came whole, or why it did not.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fetched {
+    /// The number that it was begun under.
+    pub id: u32,
+    /// The text.
+    pub text: Result<Vec<u8>, Unfetched>,
+    /// Its first part came so long after it was asked for: it was as it is at some time between.
+    pub within: Millis,
+}
+
 /// A question for a text, to be answered by [`Fleet::serve`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Asked {
@@ -65,6 +76,9 @@
     /// Parts that are asked for, and since when.
     out: Vec<(usize, Millis)>,
     next: usize,
+    begun: Millis,
+    /// When its first part came.
+    first: Option<Millis>,
     heard: Millis,
 }
 
@@ -82,13 +96,25 @@
         }
         let id = self.rng.u32(..);
         let (parts, length, out) = (Vec::new(), None, Vec::new());
-        self.fetches.push(Fetch { id, to, topic, key, parts, length, out, next: 0, heard: now });
+        self.fetches.push(Fetch {
+            id,
+            to,
+            topic,
+            key,
+            parts,
+            length,
+            out,
+            next: 0,
+            begun: now,
+            first: None,
+            heard: now,
+        });
         self.fetches_go_on(now);
         Some(id)
     }
 
     /// Texts that came whole, or why they did not.
-    pub fn fetched(&mut self) -> std::vec::Drain<'_, (u32, Result<Vec<u8>, Unfetched>)> {
+    pub fn fetched(&mut self) -> std::vec::Drain<'_, Fetched> {
         self.fetched.drain(..)
     }
 
@@ -172,6 +198,7 @@
         if fetch.length.is_none() {
             (fetch.length, fetch.parts) = (Some(length), vec![None; count]);
         }
+        fetch.first.get_or_insert(now);
         fetch.out.retain(|(part, _)| *part != at);
         let size = if at + 1 == count { length - at * PART } else { PART };
         if let Some(Item::Bytes(bytes)) = items.into_iter().next()
@@ -189,8 +216,9 @@
     }
 
     fn fetch_ends(&mut self, n: usize, with: Result<Vec<u8>, Unfetched>) {
-        let fetch = self.fetches.swap_remove(n);
-        self.fetched.push((fetch.id, with));
+        let Fetch { id, begun, first, heard, .. } = self.fetches.swap_remove(n);
+        let within = first.unwrap_or(heard).saturating_sub(begun);
+        self.fetched.push(Fetched { id, text: with, within });
     }
 
     /// When a part is asked for again, or a text is given up.
--- a/crates/heathroad-fleet/src/fleet/mod.rs
+++ b/crates/heathroad-fleet/src/fleet/mod.rs
@@ -17,7 +17,7 @@
 use crate::want::{Required, Want, Wanted};
 use crate::wire::{self, Head, Kind, MAX_DATAGRAM, SEAL, SPOKEN, Writer};
 use crate::{Millis, Place};
-use fetch::{Asked, Fetch, Served, Unfetched};
+use fetch::{Asked, Fetch, Fetched, Served};
 use probe::{Helping, Probe};
 use serde::Serialize;
 use std::collections::VecDeque;
@@ -198,8 +198,9 @@
 
 /// Most news that waits to be taken.
 const NEWS: usize = 256;
-/// A proxy that has heard nobody for so many of its periods is cut off.
-const SILENCE: u64 = 3;
+/// A proxy that has heard nobody for so many periods is cut off. (Its doubt of itself does not count: that grows as it hears nobody,
+/// and it would accuse others for as long.)
+const SILENCE: u64 = 4;
 /// Most digests asked after at a time.
 const QUESTIONS: usize = 2;
 
@@ -225,7 +226,7 @@
     pace: Pace,
     texts: Pace,
     fetches: Vec<Fetch>,
-    fetched: Vec<(u32, Result<Vec<u8>, Unfetched>)>,
+    fetched: Vec<Fetched>,
     asked: Vec<Asked>,
     served: VecDeque<Served>,
     /// When somebody was last heard, by this proxy's clock.
@@ -499,7 +500,7 @@
             self.health.worse(1);
             self.tell(News::Woke { after: late });
         }
-        let silence = SILENCE * self.terms.period * self.health.factor();
+        let silence = SILENCE * self.terms.period;
         if !self.cut_off && self.silent_for(now) > silence && self.table.present() > 1 {
             self.cut_off = true;
             self.tell(News::CutOff);
--- a/crates/heathroad-fleet/tests/membership.rs
+++ b/crates/heathroad-fleet/tests/membership.rs
@@ -92,7 +92,9 @@
     let mut world = settled(6, 5);
     // Nothing comes to member 3; what it sends is heard.
     world.faults.cut.extend((0..6).filter(|p| *p != 3).map(|p| (p, 3)));
-    world.run(60_000);
+    world.run(6_000);
+    assert!(world.fleet(3).cut_off(), "it knows within some periods");
+    world.run(54_000);
     assert!(world.fleet(3).cut_off());
     let by_it = |n: &News| matches!(n, News::Suspected { by: 3, .. });
     assert!(!world.news.iter().any(|(_, _, n)| by_it(n)), "{:?}", world.news);
--- a/crates/heathroad-fleet/tests/texts.rs
+++ b/crates/heathroad-fleet/tests/texts.rs
@@ -11,6 +11,7 @@
 fn fetch(world: &mut World, topic: Topic, key: Digest, text: Option<Vec<u8>>) -> Result<Vec<u8>, Unfetched> {
     let now = world.now;
     let id = world.fleet_mut(0).fetch(now, 1, topic, key).expect("there is room");
+    let begun = now;
     for _ in 0..200_000 {
         world.run(1);
         let now = world.now;
@@ -19,9 +20,10 @@
             asked.into_iter().for_each(|a| world.fleet_mut(1).serve(now, a, text.clone()));
         }
         let done: Vec<_> = world.fleet_mut(0).fetched().collect();
-        if let Some((of, text)) = done.into_iter().next() {
-            assert_eq!(of, id);
-            return text;
+        if let Some(fetched) = done.into_iter().next() {
+            assert_eq!(fetched.id, id);
+            assert!(fetched.within <= world.now - begun);
+            return fetched.text;
         }
     }
     panic!("neither a text nor an end");
@@ -76,5 +78,5 @@
     world.kill(1);
     world.run(4_000);
     let done: Vec<_> = world.fleet_mut(0).fetched().collect();
-    assert_eq!(done, [(id, Err(Unfetched::Silence))]);
+    assert_eq!(done.iter().map(|f| (f.id, &f.text)).collect::<Vec<_>>(), [(id, &Err(Unfetched::Silence))]);
 }
--- a/crates/heathroad-rehearsal/src/fleet.rs
+++ b/crates/heathroad-rehearsal/src/fleet.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{sleep, timeout};
 
@@ -62,6 +63,7 @@
     noted: Arc<Mutex<Vec<Noted>>>,
     backend: SocketAddr,
     serving: JoinHandle<()>,
+    held: watch::Sender<bool>,
     program: PathBuf,
     folder: PathBuf,
     options: Options,
@@ -77,9 +79,14 @@
     }
 }
 
-async fn serve(listener: TcpListener, clock: Clock, noted: Arc<Mutex<Vec<Noted>>>) {
+async fn serve(
+    listener: TcpListener,
+    clock: Clock,
+    noted: Arc<Mutex<Vec<Noted>>>,
+    held: watch::Receiver<bool>,
+) {
     while let Ok((mut stream, _)) = listener.accept().await {
-        let noted = noted.clone();
+        let (noted, mut held) = (noted.clone(), held.clone());
         tokio::spawn(async move {
             let mut buffer = Buffer::default();
             while let Ok(request) = buffer.request(&mut stream).await {
@@ -87,7 +94,10 @@
                 if let Ok(mut noted) = noted.lock() {
                     noted.push(Noted { at, proxy, version: request.version });
                 }
-                if stream.write_all(&http::answer(200, "", "done")).await.is_err() {
+                let hold = *held.borrow_and_update();
+                // Its sender ends with the fleet.
+                let waited = !hold || held.wait_for(|hold| !hold).await.is_ok();
+                if !waited || stream.write_all(&http::answer(200, "", "done")).await.is_err() {
                     return;
                 }
             }
@@ -118,11 +128,23 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.map_err(|e| format!("backend: {e}"))?;
         let backend = listener.local_addr().map_err(|e| format!("backend: {e}"))?;
         let noted = Arc::<Mutex<Vec<Noted>>>::default();
-        let serving = tokio::spawn(serve(listener, clock, noted.clone()));
+        let held = watch::Sender::new(false);
+        let serving = tokio::spawn(serve(listener, clock, noted.clone(), held.subscribe()));
         let daemons = (0..proxies).map(|_| None).collect();
         let program = program.to_path_buf();
-        let mut fleet =
-            Fleet { network, clock, daemons, noted, backend, serving, program, folder, options, calls: 0 };
+        let mut fleet = Fleet {
+            network,
+            clock,
+            daemons,
+            noted,
+            backend,
+            serving,
+            held,
+            program,
+            folder,
+            options,
+            calls: 0,
+        };
         if let Some(routes) = &fleet.options.routes {
             let text = fleet.routes(routes);
             std::fs::write(fleet.folder.join("routes.toml"), text).map_err(|e| e.to_string())?;
@@ -332,6 +354,11 @@
         self.until(proxy, "/config/status", |s| s["open"].is_null()).await.map(drop)
     }
 
+    /// The backend holds what comes from now on, to answer it once it holds no more.
+    pub fn hold(&self, hold: bool) {
+        self.held.send_replace(hold);
+    }
+
     /// What came to the backend so far.
     pub fn noted(&self) -> Vec<Noted> {
         self.noted.lock().map(|n| n.clone()).unwrap_or_default()
--- a/crates/heathroad-rehearsal/tests/fleet.rs
+++ b/crates/heathroad-rehearsal/tests/fleet.rs
@@ -221,6 +221,28 @@
     assert!(dropped.iter().all(|n| *n > 0), "half messages and repeats are told apart: {dropped:?}");
 }
 
+/// A request that is bound before a change and answered long after it stands under the version that it was bound to.
+#[tokio::test]
+async fn an_act_long_after_the_change_is_under_what_it_was_bound_to() {
+    let mut fleet = fleet(2, 6, true).await;
+    fleet.hold(true);
+    let call = tokio::spawn(fleet.calling(0).expect("it runs"));
+    while fleet.noted().is_empty() {
+        sleep(Duration::from_millis(10)).await;
+    }
+    fleet.apply(0, &routes(2)).await.expect("it is taken");
+    fleet.hold(false);
+    assert_eq!(call.await.expect("no panic"), Ok(200));
+    let audit = fleet.ask(1, "/fleet/audit").await.expect("told");
+    let pages = member(&audit, 0)["pages"].as_array().expect("reached").clone();
+    let of =
+        |generation: u64| pages.iter().rfind(|p| p["version"]["generation"] == generation).expect("a page");
+    let (old, new) = (of(1), of(2));
+    assert_eq!((&old["acts"]["bound"], &old["acts"]["served"]), (&1.into(), &1.into()), "{old}");
+    assert!(old["last"].as_u64() > old["to"].as_u64(), "{old}");
+    assert_eq!((&new["acts"]["bound"], &new["acts"]["served"]), (&0.into(), &0.into()), "{new}");
+}
+
 /// Without a file of the fleet nothing is sent or read on the peers' port, and nothing is kept.
 #[tokio::test]
 async fn without_a_fleet_the_peers_port_stays_closed() {
--- a/crates/heathroad/src/fleet/audit.rs
+++ b/crates/heathroad/src/fleet/audit.rs
@@ -12,7 +12,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::JoinSet;
-use tokio::time::Instant;
 
 /// A record that has not come by then is told as not reached.
 const PATIENCE: Duration = Duration::from_secs(6);
@@ -63,14 +62,12 @@
 }
 
 async fn record(peers: &Peers, of: Place) -> Result<Heard, Unfetched> {
-    let (begun, asked) = (Instant::now(), peers.acts.now());
-    let text = peers.fetch(of, Topic::Record, Digest::default(), PATIENCE).await?;
+    let (text, span) = peers.fetch(of, Topic::Record, Digest::default(), PATIENCE).await?;
     let told: Told = serde_json::from_slice(&text).map_err(|_| Unfetched::Spoilt)?;
-    // It was written down somewhere between the question and now.
-    let took = u64::try_from(begun.elapsed().as_millis()).unwrap_or(u64::MAX);
-    let middle = asked.saturating_add(took / 2);
+    // It was written down somewhere in that span.
+    let middle = span.begun.saturating_add(span.within / 2);
     let off = i64::try_from(i128::from(middle) - i128::from(told.at)).unwrap_or(i64::MAX);
-    Ok(Heard { told, off, error: took.div_ceil(2) })
+    Ok(Heard { told, off, error: span.within.div_ceil(2) })
 }
 
 fn pages(ask: &Ask, told: &Told, off: i64) -> Vec<Value> {
@@ -112,8 +109,8 @@
         (fleet.own(), fleet.table().all().map(|(place, m)| (place, m.standing)).collect())
     };
     for (place, standing) in standings {
-        // Whoever is gone may be there all the same; of whoever was never heard nothing is known that could be asked for.
-        if place != own && standing != Standing::Unknown {
+        // Whoever is gone is not waited for: a half of the fleet would take minutes.
+        if place != own && matches!(standing, Standing::Alive | Standing::Suspect) {
             let peers = peers.clone();
             crate::effort::spawn_in(&mut asking, async move { (place, record(&peers, place).await) });
         }
@@ -135,7 +132,8 @@
                     Some(Err(Unfetched::NotThere)) => "it keeps no record",
                     Some(Err(Unfetched::Spoilt)) => "its record came spoilt",
                     Some(_) => "it did not answer",
-                    None => "it was never heard",
+                    None if view["standing"] == "unknown" => "it was never heard",
+                    None => "it is not there, as far as is known here",
                 };
                 // What it did since it was last heard, on which version and until when, nobody here can know.
                 json!({"reached": false, "why": why, "last_heard_ms": view["heard_ms"], "last_acts": view["acts"],
--- a/crates/heathroad/src/fleet/mod.rs
+++ b/crates/heathroad/src/fleet/mod.rs
@@ -10,7 +10,7 @@
 use crate::configuration::fleet::Settings;
 use crate::effort::{sleep, sleep_until, spawn_local, timeout};
 use acts::{Acts, Committed};
-use heathroad_fleet::fleet::fetch::Unfetched;
+use heathroad_fleet::fleet::fetch::{Fetched, Unfetched};
 use heathroad_fleet::fleet::{Fleet, News};
 use heathroad_fleet::version::Digest;
 use heathroad_fleet::want::Wanted;
@@ -37,7 +37,13 @@
 /// Pause between two looks whether a text can be fetched, where too many are.
 const CROWDED: Duration = Duration::from_millis(20);
 
-type Waiting = oneshot::Sender<Result<Vec<u8>, Unfetched>>;
+type Waiting = oneshot::Sender<Fetched>;
+
+/// From when on, Unix time in milliseconds, and for how long.
+struct Span {
+    begun: u64,
+    within: Millis,
+}
 
 /// This proxy among its fellows.
 pub struct Peers {
@@ -172,10 +178,10 @@
                 let _ = self.socket.try_send_to(&send.bytes, *to);
             }
         }
-        for (id, text) in fleet.fetched() {
-            if let Some(waiting) = self.waiting.borrow_mut().remove(&id) {
+        for fetched in fleet.fetched() {
+            if let Some(waiting) = self.waiting.borrow_mut().remove(&fetched.id) {
                 // Whoever asked may have left.
-                let _ = waiting.send(text);
+                let _ = waiting.send(fetched);
             }
         }
         for news in fleet.news() {
@@ -248,23 +254,23 @@
     /// The text of routes, from some member that acts on them, by chance; nothing where none is known, or none came.
     pub async fn pull(&self, routes: Digest) -> Option<String> {
         let from = self.fleet.borrow_mut().source_of(routes)?;
-        let text = self.fetch(from, Topic::Routes, routes, PULL).await.ok()?;
+        let (text, _) = self.fetch(from, Topic::Routes, routes, PULL).await.ok()?;
         String::from_utf8(text).ok()
     }
 
-    /// Fetches a text from a member, with how long it took until its first word was asked for and came.
+    /// Fetches a text from a member, with the span in which it was as it is.
     async fn fetch(
         &self,
         to: Place,
         topic: Topic,
         key: Digest,
         most: Duration,
-    ) -> Result<Vec<u8>, Unfetched> {
-        let id = loop {
-            let now = self.now();
-            let begun = self.fleet.borrow_mut().fetch(now, to, topic, key);
-            match begun {
-                Some(id) => break id,
+    ) -> Result<(Vec<u8>, Span), Unfetched> {
+        let (id, begun) = loop {
+            let (now, begun) = (self.now(), self.acts.now());
+            let id = self.fleet.borrow_mut().fetch(now, to, topic, key);
+            match id {
+                Some(id) => break (id, begun),
                 None => sleep(CROWDED).await,
             }
         };
@@ -273,7 +279,8 @@
         self.stirred.notify_one();
         let came = timeout(most, told).await;
         self.waiting.borrow_mut().remove(&id);
-        came.ok().and_then(Result::ok).unwrap_or(Err(Unfetched::Silence))
+        let fetched = came.ok().and_then(Result::ok).ok_or(Unfetched::Silence)?;
+        Ok((fetched.text?, Span { begun, within: fetched.within }))
     }
 
     /// Who is there, as JSON.
--- a/crates/heathroad/src/operation/fleet.rs
+++ b/crates/heathroad/src/operation/fleet.rs
@@ -72,7 +72,7 @@
 /// A time span, in the unit that suits it.
 fn span(ms: &Value) -> String {
     match ms.as_u64() {
-        None => "never".into(),
+        None => "-".into(),
         Some(ms) if ms < 10_000 => format!("{:.1} s", ms as f64 / 1000.0),
         Some(ms) if ms < 600_000 => format!("{} s", ms / 1000),
         Some(ms) if ms < 36_000_000 => format!("{} min", ms / 60_000),
@@ -80,6 +80,11 @@
     }
 }
 
+/// When something of a member was heard here; most of a large fleet is known from others alone.
+fn heard(ms: &Value) -> String {
+    if ms.is_null() { "never heard by itself".into() } else { format!("heard {} ago", span(ms)) }
+}
+
 fn text(value: &Value) -> &str {
     value.as_str().unwrap_or("-")
 }
@@ -133,8 +138,7 @@
     let mut out = heading(answer, &answer["place"]);
     for m in rows(answer) {
         let me = if m["me"] == true { " (asked)" } else { "" };
-        let heard =
-            if m["me"] == true { String::new() } else { format!(", heard {} ago", span(&m["heard_ms"])) };
+        let heard = if m["me"] == true { String::new() } else { format!(", {}", heard(&m["heard_ms"])) };
         let acts = match m["acts"][0].as_str() {
             Some(digest) => format!("; {}", version(&m["version"], digest)),
             None => String::new(),
@@ -145,7 +149,7 @@
         let _ = write!(
             out,
             "\n{:>4}  {:<21} {}{by} for {}{heard}{acts}{me}",
-            m["place"],
+            m["place"].to_string(),
             text(&m["address"]),
             text(&m["standing"]),
             span(&m["for_ms"]),
@@ -193,9 +197,9 @@
             };
             let _ = write!(
                 out,
-                "\n    NOT KNOWN: {}; heard {} ago; {last}; what it did since is not known",
+                "\n    NOT KNOWN: {}; {}; {last}; what it did since is not known",
                 text(&m["why"]),
-                span(&m["last_heard_ms"])
+                heard(&m["last_heard_ms"])
             );
             continue;
         }
