Refusals by a fence are no harm of a change; the part that can know is not fenced

Fence refusals are left out of what a change is judged by, and a proxy that has to be sure asks somebody who is there six times in that span. A test has one of three stall: the others are never fenced. Taking out each mechanism in turn showed two tests that could not fail: a round that began anew asked those who are gone by accident (probe.rs, next_member), which hid the knock; and no history refuted an end. Both mended, both fail without theirs.

--- a/crates/heathroad-fleet/src/fleet/mod.rs
+++ b/crates/heathroad-fleet/src/fleet/mod.rs
@@ -201,6 +201,8 @@
 /// A proxy that has heard nobody for so many periods is cut off. (Its doubt of itself does not count: that grows as it hears nobody,
 /// and it would accuse others for as long.)
 const SILENCE: u64 = 4;
+/// Most questions that are out to confirm that it is heard.
+const ASKING: usize = 8;
 /// Most digests asked after at a time.
 const QUESTIONS: usize = 2;
 
@@ -232,6 +234,8 @@
     /// When somebody was last heard, by this proxy's clock.
     heard: Millis,
     confirmed: Option<Millis>,
+    /// Questions that are out to confirm that it is heard, and since when.
+    asking: VecDeque<(u32, Millis)>,
     /// When it was to be told of the time next, as things stood when it was told last.
     planned: Millis,
     cut_off: bool,
@@ -282,6 +286,7 @@
             next_gossip: first,
             heard: now,
             confirmed: None,
+            asking: VecDeque::new(),
             planned: first,
             cut_off: false,
             stopped: false,
@@ -408,6 +413,21 @@
         self.confirmed
     }
 
+    /// Asks somebody who is there, by chance, beside the periods' questions: for [`Fleet::confirmed`].
+    pub fn confirm(&mut self, now: Millis) {
+        let lately = |(_, begun): &(u32, Millis)| now.saturating_sub(*begun) < self.terms.answer;
+        if self.asking.back().is_some_and(lately) {
+            return;
+        }
+        let Some(to) = self.some(1, None).pop() else { return };
+        let nonce = self.rng.u32(..);
+        if self.asking.len() >= ASKING {
+            self.asking.pop_front();
+        }
+        self.asking.push_back((nonce, now));
+        self.send(now, to, Kind::Ping { nonce });
+    }
+
     /// Whether more than half of the fleet's places are there, as far as is known.
     pub fn majority(&self) -> bool {
         2 * self.table.present() > usize::from(self.table.places())
--- a/crates/heathroad-fleet/src/fleet/probe.rs
+++ b/crates/heathroad-fleet/src/fleet/probe.rs
@@ -64,7 +64,9 @@
                 return Some(place);
             }
         }
-        self.order.first().copied()
+        // The round began anew on the way, and has passed those who are there; where nobody is, anybody may be.
+        let there = self.order.iter().copied().find(|p| !over(self, *p));
+        there.or(self.order.first().copied())
     }
 
     pub(super) fn begin_probe(&mut self, now: Millis) {
--- a/crates/heathroad-fleet/src/fleet/receive.rs
+++ b/crates/heathroad-fleet/src/fleet/receive.rs
@@ -133,6 +133,9 @@
         match kind {
             Kind::Ping { nonce } => self.send(now, from, Kind::Ack { nonce }),
             Kind::Ack { nonce } => {
+                if let Some(at) = self.asking.iter().position(|(asked, _)| *asked == nonce) {
+                    self.confirmed = self.confirmed.max(self.asking.remove(at).map(|(_, begun)| begun));
+                }
                 if let Some(p) = self.probe.as_mut().filter(|p| p.nonce == nonce) {
                     p.answered = true;
                     self.confirmed = self.confirmed.max(Some(p.begun));
--- a/crates/heathroad-fleet/tests/membership.rs
+++ b/crates/heathroad-fleet/tests/membership.rs
@@ -110,7 +110,9 @@
     let mut world = settled(8, 6);
     world.cut(&[0, 1, 2, 3], &[4, 5, 6, 7]);
     world.run(60_000);
-    assert_eq!((world.standing(5, 0), world.standing(1, 6)), (Standing::Gone, Standing::Gone));
+    let across = |(a, b): (u16, u16)| [world.standing(a, b), world.standing(b, a)];
+    let pairs = (0..4).flat_map(|a| (4..8).map(move |b| (a, b)));
+    assert!(pairs.flat_map(across).all(|s| s == Standing::Gone), "nobody is asked but by a knock");
     assert_eq!((world.standing(2, 0), world.standing(4, 6)), (Standing::Alive, Standing::Alive));
     world.fleet_mut(6).act_on(version(9));
     world.faults.cut.clear();
--- a/crates/heathroad-fleet/tests/merge.rs
+++ b/crates/heathroad-fleet/tests/merge.rs
@@ -37,6 +37,19 @@
     }
 }
 
+/// Whatever a member said before its end, and however late that comes: nobody is back in the same life.
+#[test]
+fn an_end_holds_in_its_life() {
+    let claim =
+        |standing, life, turn| Claim { member: 0, standing, incarnation: Incarnation { life, turn }, by: 1 };
+    for end in [Standing::Left, Standing::Gone] {
+        let words = [claim(end, 1, 0), claim(Standing::Alive, 1, 9)];
+        assert_eq!(after(&words), claim(end, 1, 0).weight());
+        let back = claim(Standing::Alive, 2, 0);
+        assert_eq!(after(&[words[0], back]), back.weight());
+    }
+}
+
 /// A member in three lives, its accuser and its judge, and a listener who hears their words in any order, some twice and some
 /// never.
 struct Words;
--- a/crates/heathroad-rehearsal/tests/stragglers.rs
+++ b/crates/heathroad-rehearsal/tests/stragglers.rs
@@ -185,3 +185,21 @@
     fleet.until(2, "/fleet/members", |t| t["fenced"] == false).await.expect("it knows again");
     assert_eq!(fleet.call(2).await, Ok(200));
 }
+
+/// One that stalls costs the others nothing: most of the fleet is there, and asks each other often enough to be sure.
+#[tokio::test]
+async fn the_others_are_not_fenced() {
+    let fleet = fleet(3, 18, Some(5 * PERIOD_MS)).await;
+    let fenced = |audit: &Value, p: usize| {
+        let spells = audit["members"][p]["spells"].as_array().expect("reached").clone();
+        spells.iter().filter(|s| s["trouble"] == "fenced").count()
+    };
+    let before = fleet.ask(0, "/fleet/audit").await.expect("told");
+    fleet.daemon(2).expect("it runs").stall().expect("stopped");
+    sleep(Duration::from_millis(30 * PERIOD_MS)).await;
+    fleet.until_stands(0, 2, "gone").await.expect("it says nothing");
+    let after = fleet.ask(0, "/fleet/audit").await.expect("told");
+    for proxy in [0, 1] {
+        assert_eq!(fenced(&after, proxy), fenced(&before, proxy), "proxy {proxy}: {after}");
+    }
+}
--- a/crates/heathroad/src/engine/mod.rs
+++ b/crates/heathroad/src/engine/mod.rs
@@ -220,6 +220,8 @@
     last: Cell<Option<Instant>>,
     /// No request will come any more: its pool has gone from the configuration.
     closed: Cell<bool>,
+    /// Requests refused while this proxy was fenced.
+    shut_out: Cell<u64>,
 }
 
 impl Engine {
@@ -244,7 +246,18 @@
         };
         let (state, clock, last) = (RefCell::new(state), Clock::new(), Cell::new(None));
         let closed = Cell::new(false);
-        Ok(Rc::new(Engine { state, pool, clock, facts, counts, acts, watching, last, closed }))
+        Ok(Rc::new(Engine {
+            state,
+            pool,
+            clock,
+            facts,
+            counts,
+            acts,
+            watching,
+            last,
+            closed,
+            shut_out: Cell::new(0),
+        }))
     }
 
     /// Whether requests can be decided: some backend takes work.
@@ -262,6 +275,7 @@
     pub async fn decide(self: &Rc<Self>, incoming: Incoming) -> Told {
         if self.fenced() {
             incoming.act(Act::Fenced);
+            self.shut_out.set(self.shut_out.get() + 1);
             self.counts.answered(incoming.class, incoming.tenant, Final::Refused);
             return (Answer::Refused { retry_after: away(&self.facts) }, None);
         }
@@ -326,6 +340,11 @@
         incoming.act(Act::Refused);
     }
 
+    /// Requests refused while this proxy was fenced: the pool has no part in these.
+    pub fn shut_out(&self) -> u64 {
+        self.shut_out.get()
+    }
+
     /// Whether this proxy binds no request, since others are required than it acts on, or it can't know.
     pub fn fenced(&self) -> bool {
         self.acts.as_ref().is_some_and(|a| a.fenced())
--- a/crates/heathroad/src/fleet/mod.rs
+++ b/crates/heathroad/src/fleet/mod.rs
@@ -32,6 +32,10 @@
 const PULL: Duration = Duration::from_secs(30);
 /// Datagrams that are read in one turn, so that requests get theirs.
 const TURN: usize = 64;
+/// The fleet is told of the time so often at the least.
+const MOST: Duration = Duration::from_secs(60);
+/// A proxy that has to be sure of what is required asks so many times in the span for which an answer makes it sure.
+const CONFIRMS: u32 = 6;
 /// News that is kept to be asked for.
 const KEPT: usize = 200;
 /// Pause between two looks whether a text can be fetched, where too many are.
@@ -106,7 +110,9 @@
     async fn run(self: Rc<Self>) {
         loop {
             let due = self.fleet.borrow().due();
-            let due = self.started + Duration::from_millis(due.min(self.now() + 60_000));
+            // Where it has to be sure, it looks after that more often than the protocol would have it.
+            let most = self.sure_for.map_or(MOST, |sure| sure / CONFIRMS);
+            let due = (self.started + Duration::from_millis(due)).min(Instant::now() + most);
             tokio::select! {
                 biased;
                 _ = self.socket.readable() => self.read(),
@@ -137,6 +143,10 @@
         let required = fleet.table().required().all().iter();
         self.acts.require(required.map(|r| (*r, instant(r.at))).collect());
         if let Some(sure_for) = self.sure_for {
+            let age = now.saturating_sub(fleet.confirmed().unwrap_or(0));
+            if age >= u64::try_from((sure_for / CONFIRMS).as_millis()).unwrap_or(u64::MAX) {
+                fleet.confirm(now);
+            }
             let confirmed = fleet.confirmed().filter(|_| fleet.majority());
             self.acts.sure_until(confirmed.map(|at| instant(at) + sure_for));
         }
--- a/crates/heathroad/src/router/change.rs
+++ b/crates/heathroad/src/router/change.rs
@@ -128,7 +128,9 @@
     pub(super) fn tick(self: &Rc<Self>) {
         let runs = self.current.borrow().runs.clone();
         for run in runs {
-            let now = run.engine.counts().so_far();
+            let mut now = run.engine.counts().so_far();
+            // Those whom a fence refused say nothing of a change.
+            now[1] = now[1].saturating_sub(run.engine.shut_out());
             let before = run.seen.replace(now);
             let [served, refused, failed, timed_out, late] =
                 [0, 1, 2, 3, 4].map(|i| now[i].saturating_sub(before[i]) as f64);
