--- a/crates/heathroad-fleet/src/fleet/mod.rs
+++ b/crates/heathroad-fleet/src/fleet/mod.rs
@@ -327,6 +327,7 @@
         if now >= self.next_period {
             self.next_period = now + self.terms.period * self.health.factor();
             self.begin_probe(now);
+            self.ask(now);
         }
         if now >= self.next_gossip && self.gossip.any() {
             self.next_gossip = now + self.terms.gossip;
@@ -589,6 +590,11 @@
             return;
         }
         to.into_iter().for_each(|to| self.send(now, to, Kind::Gossip));
+        self.ask(now);
+    }
+
+    /// Asks after versions that are known by their digests alone; in quiet times too, since an answer may have been lost.
+    fn ask(&mut self, now: Millis) {
         let mut wanted: Vec<(Digest, Place)> = Vec::new();
         for (place, m) in self.table.all().filter(|(p, m)| *p != self.own && m.standing == Standing::Alive) {
             if let Some(acts) = m.acts.filter(|a| self.table.version(a.digest).is_none()) {
