--- a/crates/heathroad-fleet/src/record.rs
+++ b/crates/heathroad-fleet/src/record.rs
@@ -248,8 +248,6 @@
     lost_until: Option<Unix>,
     spells: VecDeque<Spell>,
     turned_down: VecDeque<TurnedDown>,
-    /// Grows with every page that is begun, joined or given up.
-    changes: u64,
 }
 
 impl Record {
@@ -266,7 +264,6 @@
             lost_until: lost.until,
             spells: VecDeque::new(),
             turned_down: VecDeque::new(),
-            changes: 0,
         };
         if let Some(told) = before {
             record.turned_down = told.turned_down.into();
@@ -307,7 +304,6 @@
 
     /// Nothing is in force any more: the proxy stops.
     pub fn close(&mut self, now: Unix) {
-        self.changes += 1;
         if let Some(page) = self.pages.back() {
             let mut kept = page.kept.borrow_mut();
             kept.to.get_or_insert(now);
@@ -316,7 +312,6 @@
 
     /// A generation was not taken, for a reason.
     pub fn turn_down(&mut self, mut one: TurnedDown) {
-        self.changes += 1;
         while one.why.len() > MAX_WHY {
             one.why.pop();
         }
@@ -333,7 +328,6 @@
 
     /// A spell of trouble begins, or is told when it is over.
     pub fn spell(&mut self, spell: Spell) {
-        self.changes += 1;
         if self.spells.len() >= MAX_SPELLS {
             self.spells.pop_front();
         }
@@ -342,18 +336,12 @@
 
     /// The spell of a kind that lasts is over.
     pub fn spell_over(&mut self, trouble: Trouble, now: Unix) {
-        self.changes += 1;
         let lasting = self.spells.iter_mut().rev().find(|s| s.trouble == trouble && s.to.is_none());
         if let Some(spell) = lasting {
             spell.to = Some(now);
         }
     }
 
-    /// Grows with every page that is begun, joined or given up.
-    pub fn changes(&self) -> u64 {
-        self.changes
-    }
-
     fn bound(&mut self) {
         while self.pages.len() > MAX_PAGES {
             let alike = |at: &usize| {
@@ -376,7 +364,6 @@
                     page.into.replace(Some(self.lost.clone()));
                 }
             }
-            self.changes += 1;
         }
     }
 
--- a/crates/heathroad-rehearsal/tests/common/mod.rs
+++ b/crates/heathroad-rehearsal/tests/common/mod.rs
@@ -65,6 +65,15 @@
 for_s = 0.2
 "#;
 
+/// A text of routes that differs from others in its number alone.
+pub fn routes(n: u64) -> String {
+    format!(
+        "[[pool]]\nname = \"all\"\nbackends = [\"BACKEND\"]\n[[pool.class]]\nname = \"look\"\neffect = \"safe\"\n\
+         aim_ms = 1000\ndeadline_ms = {}\n[[route]]\nname = \"all\"\npool = \"all\"\n",
+        4000 + n
+    )
+}
+
 /// Rehearsals take turns: side by side they would make each other late.
 static TURN: Mutex<()> = Mutex::new(());
 
