heathroad-duty: grants by a majority of voters, fencing tokens, marks; the daemon's part

A package without I/O: voters grant a duty to one at a time under tokens that only grow and name their holder; who has a quorum holds until the first grant may end, counted from before it asked; marks kept by a quorum are what the next one begins with; electorates overlap while they change; a voter that starts is silent. Messages ride in the fleet's sealed datagrams (kind 10). In the daemon the voters' memory in redb, synced before an answer goes; work as a future with a look before each act; work 'call' and 'collect'; the audit answers for members that are gone from what the collector kept. Off without [duties] in the fleet's file.

With processes nothing is shown yet.

--- /dev/null
+++ b/crates/heathroad-duty/src/token.rs
@@ -0,0 +1,96 @@
+//! Fencing tokens.
+
+use heathroad_fleet::Place;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use std::fmt;
+use std::str::FromStr;
+
+/// A grant's number. It only grows from one holder of a duty to the next, and names one holder alone: sixteen bits of the
+/// electorate's generation, then a count of 32 bits, then the place of whoever asked.
+///
+/// The count is at least the Unix time in seconds of some voter's start: a voter that has forgotten everything asks for a higher one than
+/// whatever was granted before it started.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct Token(u64);
+
+impl Token {
+    /// Of its parts.
+    pub const fn new(generation: u16, count: u32, place: Place) -> Token {
+        Token((generation as u64) << 48 | (count as u64) << 16 | place as u64)
+    }
+
+    /// The electorate's generation under which it was asked for.
+    pub fn generation(self) -> u16 {
+        (self.0 >> 48) as u16
+    }
+
+    /// Its count.
+    pub fn count(self) -> u32 {
+        (self.0 >> 16) as u32
+    }
+
+    /// Whose it is.
+    pub fn place(self) -> Place {
+        self.0 as u16
+    }
+
+    /// The least that is above this one, with a count of `floor` or more; none if there is no further count.
+    pub fn above(self, floor: u32, generation: u16, place: Place) -> Option<Token> {
+        let token = Token::new(generation, floor, place);
+        if token > self {
+            return Some(token);
+        }
+        if generation < self.generation() {
+            return None;
+        }
+        let token = Token::new(generation, self.count(), place);
+        if token > self {
+            Some(token)
+        } else {
+            Some(Token::new(generation, self.count().checked_add(1)?, place))
+        }
+    }
+
+    /// As one number, of which a higher one is a later grant.
+    pub fn number(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for Token {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl fmt::Debug for Token {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl FromStr for Token {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Token, Self::Err> {
+        let whole = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
+        let number = whole.then(|| u64::from_str_radix(text, 16).ok()).flatten();
+        number.map(Token).ok_or("expected a token of 16 hexadecimal digits")
+    }
+}
+
+impl Serialize for Token {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        if s.is_human_readable() { s.collect_str(self) } else { self.0.to_be_bytes().serialize(s) }
+    }
+}
+
+impl<'de> Deserialize<'de> for Token {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        if !d.is_human_readable() {
+            return <[u8; 8]>::deserialize(d).map(|b| Token(u64::from_be_bytes(b)));
+        }
+        let text = std::borrow::Cow::<'de, str>::deserialize(d)?;
+        text.parse().map_err(serde::de::Error::custom)
+    }
+}
--- /dev/null
+++ b/crates/heathroad-duty/tests/grants.rs
@@ -0,0 +1,379 @@
+//! Who holds a duty, and who comes next, by the faults that hit its holder and its voters.
+
+mod common;
+
+use common::{LEASE, UNIX, World, duty};
+use heathroad_duty::duties::turn;
+use heathroad_duty::electorate::{Electorate, Unfit};
+use heathroad_duty::message::{Message, What};
+use heathroad_duty::seat::{Ended, Event};
+use heathroad_duty::token::Token;
+use heathroad_duty::{DutyId, Terms};
+use heathroad_fleet::Place;
+
+const LONG: u64 = 60_000;
+
+fn held(members: u16, voters: u16, seed: u64) -> World {
+    let mut world = World::new(members, voters, seed);
+    world.run_until(LONG, |w| w.holder().is_some()).expect("it is held");
+    world
+}
+
+/// Runs until somebody holds it, under a later token than before: who, and how long that took.
+fn next(world: &mut World, last: Token) -> (Place, u64) {
+    let (begun, end) = (world.now, world.now + LONG);
+    let later = |w: &World| w.holders().iter().any(|(_, t)| *t > last);
+    let at = world.run_until(end, later).expect("it is held again");
+    (world.holders().iter().find(|(_, t)| *t > last).expect("it is").0, at - begun)
+}
+
+fn token(world: &World) -> Token {
+    world.holders().first().expect("it is held").1
+}
+
+/// Membership is quick here; the lease is what is waited for.
+const BOUND: u64 = LEASE * 2;
+
+#[test]
+fn it_is_held_by_whose_turn_it_is() {
+    let world = held(9, 3, 1);
+    assert_eq!(world.holder(), turn(duty(), &world.running()).first().copied());
+}
+
+#[test]
+fn duties_are_spread() {
+    let all: Vec<Place> = (0..30).collect();
+    let mut first: Vec<Place> = (0..30).map(|n| turn(DutyId::of(&format!("duty {n}")), &all)[0]).collect();
+    first.sort_unstable();
+    first.dedup();
+    assert!(first.len() > 12, "{first:?}");
+}
+
+#[test]
+fn a_holder_that_dies_is_followed() {
+    let mut world = held(6, 3, 2);
+    let (first, last) = (world.holder().expect("held"), token(&world));
+    world.run(LEASE * 6);
+    world.kill(first);
+    let (second, took) = next(&mut world, last);
+    assert!(second != first && took < BOUND, "{second} after {took}");
+}
+
+#[test]
+fn one_that_resigns_is_followed_at_once_and_does_not_come_back() {
+    let mut world = held(6, 3, 3);
+    let (first, last) = (world.holder().expect("held"), token(&world));
+    world.with(first, |d, now| d.resign(now, duty(), Ended::Told));
+    let (second, took) = next(&mut world, last);
+    assert!(second != first && took < LEASE / 4, "{second} after {took}");
+    world.run(LEASE * 4);
+    assert_eq!(world.holder(), Some(second));
+}
+
+/// The word to the next one, and all that voters were told of the end, are lost: the grants run out.
+#[test]
+fn a_hand_on_whose_messages_are_lost() {
+    let mut world = held(6, 3, 4);
+    let (first, last) = (world.holder().expect("held"), token(&world));
+    world.run(LEASE * 6);
+    let others: Vec<Place> = (0..6).filter(|p| *p != first).collect();
+    world.cut(&[first], &others);
+    world.with(first, |d, now| d.resign(now, duty(), Ended::Unfit));
+    let (second, took) = next(&mut world, last);
+    assert!(second != first && took < BOUND, "{second} after {took}");
+}
+
+#[test]
+fn one_that_stalls_in_an_act_is_refused_when_it_wakes() {
+    for checks in [true, false] {
+        let mut world = held(6, 3, 5);
+        (world.acting, world.checks) = (Some(5), checks);
+        world.run(LEASE * 6);
+        let first = world.holder().expect("held");
+        world.stall(first, LEASE * 3);
+        world.run(LEASE * 8);
+        assert_eq!(world.judge().is_ok(), checks, "{:?}", world.judge());
+        let late = world.acts.iter().any(|d| d.by == first && !d.taken);
+        assert_eq!(late, checks, "its last act comes after another's");
+        let why = world.events.iter().find_map(|(_, p, e)| match e {
+            Event::End { why, .. } if *p == first => Some(*why),
+            _ => None,
+        });
+        assert_eq!(why, Some(Ended::Lapsed));
+    }
+}
+
+/// Cut off from the voters alone, it stops acting before anybody else begins.
+#[test]
+fn one_that_is_cut_off_from_voters_stops_before_another_begins() {
+    for one_way in [[false, true], [true, false], [true, true]] {
+        let mut world = held(8, 3, 6);
+        world.acting = Some(5);
+        world.run(LEASE * 6);
+        let (first, last) = (world.holder().expect("held"), token(&world));
+        for voter in (0..3).filter(|v| *v != first) {
+            let ways = [(first, voter), (voter, first)];
+            world.faults.cut.extend(ways.into_iter().zip(one_way).filter(|(_, cut)| *cut).map(|(w, _)| w));
+        }
+        let (second, took) = next(&mut world, last);
+        assert!(second != first && took < BOUND, "{second} after {took}");
+        world.run(LEASE);
+        assert_eq!(world.judge(), Ok(()));
+        assert!(world.acts.iter().all(|d| d.taken), "no act came late");
+    }
+}
+
+/// Cut from some it acts on, and not from the voters, it goes on.
+#[test]
+fn one_that_is_heard_by_voters_goes_on() {
+    let mut world = held(9, 3, 7);
+    let (first, last) = (world.holder().expect("held"), token(&world));
+    let others: Vec<Place> = (3..9).filter(|p| *p != first).collect();
+    world.cut(&[first], &others);
+    world.run(LEASE * 10);
+    assert_eq!((world.holder(), token(&world)), (Some(first), last));
+}
+
+#[test]
+fn without_a_majority_nobody_is_granted_anything_and_what_is_held_lapses() {
+    let mut world = held(6, 3, 8);
+    let last = token(&world);
+    let all: Vec<Place> = (0..6).collect();
+    for voter in 0..3 {
+        let others: Vec<Place> = all.iter().copied().filter(|p| *p != voter).collect();
+        world.cut(&[voter], &others);
+    }
+    world.run(LEASE * 2);
+    assert_eq!(world.holders(), []);
+    assert!(world.begun().iter().all(|b| b.2 <= last));
+    world.faults.cut.clear();
+    let (_, took) = next(&mut world, last);
+    assert!(took < BOUND, "{took}");
+}
+
+#[test]
+fn a_mark_is_what_the_next_holder_begins_with() {
+    let mut world = held(6, 3, 9);
+    let (first, last) = (world.holder().expect("held"), token(&world));
+    world.faults.loss = 0.3;
+    world.with(first, |d, now| assert_eq!(d.mark(now, duty(), b"one".to_vec()), Some(1)));
+    world.with(first, |d, now| assert_eq!(d.mark(now, duty(), b"two".to_vec()), Some(2)));
+    let saved = |w: &World| w.events.iter().any(|(_, _, e)| matches!(e, Event::Saved { seq: 2, .. }));
+    let end = world.now + LONG;
+    world.run_until(end, saved).expect("a quorum keeps it");
+    world.faults.loss = 0.0;
+    world.kill(first);
+    next(&mut world, last);
+    let mark = world.begun().last().expect("begun").3.clone().expect("a mark");
+    assert_eq!((mark.seq, &mark.state[..], mark.token), (2, &b"two"[..], last));
+    assert!(world.kept > 0);
+}
+
+/// A mark that no quorum keeps may or may not be what the next one begins with; one of a holder that was followed is kept by nobody.
+#[test]
+fn a_late_mark_is_refused() {
+    let mut world = held(6, 3, 10);
+    let (first, last) = (world.holder().expect("held"), token(&world));
+    world.run(LEASE * 6);
+    world.stall(first, LEASE * 4);
+    let (_, _) = next(&mut world, last);
+    let kept = world.kept;
+    world.run(LEASE);
+    let mark = heathroad_duty::voter::Mark { token: last, seq: 9, state: b"late".to_vec() };
+    let (voter, life) =
+        ((0..3).find(|v| *v != first).expect("another"), world.proxies[usize::from(first)].life);
+    let message = Message { duty: duty(), what: What::Keep { mark } };
+    world.with(voter, |d, now| d.hear(now, first, life, message));
+    assert_eq!(world.kept, kept);
+}
+
+/// All voters are killed at once and know nothing, or what they had on disk: the next token is higher all the same.
+#[test]
+fn tokens_grow_over_restarts_of_all_voters() {
+    for disk in [true, false] {
+        for clocks_back in [0, 3600] {
+            if !disk && clocks_back > 0 {
+                // Nothing is left that could know: the page says so.
+                continue;
+            }
+            let mut world = held(3, 3, 11);
+            world.run(LEASE * 3);
+            let last = token(&world);
+            (0..3).for_each(|p| world.kill(p));
+            world.run(LEASE * 2);
+            for p in 0..3 {
+                let proxy = &mut world.proxies[usize::from(p)];
+                (proxy.has_disk, proxy.unix_off) = (disk, -clocks_back);
+                world.start(p);
+            }
+            next(&mut world, last);
+            assert_eq!(world.judge(), Ok(()));
+        }
+    }
+}
+
+/// A voter comes back with an old copy of what it had kept, or with nothing: nobody begins beside the holder or under a lower token.
+#[test]
+fn a_voter_with_an_old_copy() {
+    for copy in [true, false] {
+        let mut world = held(5, 3, 12);
+        world.acting = Some(5);
+        let old = world.proxies[1].disk.clone();
+        for n in 0..6 {
+            world.run(LEASE * 2);
+            let end = world.now + LONG;
+            world.run_until(end, |w| w.holder().is_some()).expect("it is held");
+            let holder = world.holder().expect("held");
+            world.with(holder, |d, now| d.resign(now, duty(), Ended::Told));
+            world.run(LEASE / 2);
+            let voter = n % 3;
+            world.kill(voter);
+            world.proxies[usize::from(voter)].disk = if copy { old.clone() } else { Default::default() };
+            world.start(voter);
+        }
+        world.run(LEASE * 3);
+        assert_eq!(world.judge(), Ok(()));
+        assert!(world.acts.iter().all(|d| d.taken));
+    }
+}
+
+/// A voter that starts says nothing for longer than whatever it granted before counts.
+#[test]
+fn a_voter_that_starts_is_silent() {
+    let mut world = held(5, 3, 13);
+    let (last, holder) = (token(&world), world.holder().expect("held"));
+    (0..3).filter(|p| *p != holder).for_each(|p| world.kill(p));
+    world.proxies.iter_mut().for_each(|p| p.has_disk = false);
+    (0..3).filter(|p| *p != holder).for_each(|p| world.start(p));
+    let others: Vec<Place> = (0..5).filter(|p| *p != holder).collect();
+    world.cut(&[holder], &others);
+    let (_, took) = next(&mut world, last);
+    assert!(took >= Terms { lease: LEASE }.kept(LEASE), "{took}");
+}
+
+/// The set of voters is changed while one is cut off: in between both sets are asked, and who goes by the old one alone is refused.
+#[test]
+fn voters_are_changed_while_one_is_cut_off() {
+    let mut world = held(8, 3, 14);
+    world.acting = Some(5);
+    let last = token(&world);
+    world.cut(&[2], &[0, 1, 3, 4, 5, 6, 7]);
+    let sets = [(1, vec![3, 4, 5], vec![0, 1, 2]), (2, vec![3, 4, 5], vec![])];
+    for (generation, voters, previous) in sets {
+        let electorate = Electorate::new(generation, voters, previous, 8).expect("good voters");
+        for p in (0..8).filter(|p| *p != 2) {
+            world.kill(p);
+            world.proxies[usize::from(p)].electorate = electorate.clone();
+            world.start(p);
+            world.run(LEASE * 2);
+        }
+    }
+    // The one that was cut off still goes by the first set, of which it is one alone.
+    world.faults.cut.clear();
+    world.run(LEASE * 4);
+    assert!(token(&world) > last && token(&world).generation() == 2);
+    assert_eq!(world.judge(), Ok(()));
+}
+
+/// What kills each holder is held back longer and longer, and does not go through the fleet.
+#[test]
+fn a_duty_that_kills_its_holders_is_held_back() {
+    let mut world = held(12, 3, 15);
+    let mut killed = Vec::new();
+    let end = world.now + LEASE * 60;
+    while world.now < end {
+        let kills = world.holder();
+        // Voters are spared, so that their memory of it stays.
+        if let Some(p) = kills {
+            killed.push(p);
+            world.kill(p);
+            world.start(p);
+        }
+        world.run(20);
+    }
+    assert!((4..11).contains(&killed.len()), "{killed:?}");
+    // One that lives ends that.
+    let end = world.now + LEASE * 100;
+    world.run_until(end, |w| w.holder().is_some()).expect("it is tried again");
+    let holder = world.holder().expect("held");
+    world.run(LEASE * 6);
+    assert_eq!(world.holder(), Some(holder));
+}
+
+/// Members that stall are no sign of that.
+#[test]
+fn one_that_stalls_and_lives_holds_nothing_back() {
+    let mut world = held(5, 5, 16);
+    for _ in 0..8 {
+        let (holder, last) = (world.holder().expect("held"), token(&world));
+        world.stall(holder, LEASE + LEASE / 2);
+        let (_, took) = next(&mut world, last);
+        assert!(took < BOUND + LEASE, "{took}");
+        world.run(LEASE);
+    }
+}
+
+#[test]
+fn duelling_candidates_end_under_loss() {
+    for seed in 0..40 {
+        let mut world = World::new(5, 5, 100 + seed);
+        world.faults.loss = 0.3;
+        let at = world.run_until(LONG, |w| w.holder().is_some()).expect("somebody wins");
+        assert!(at < LEASE * 5, "seed {seed}: {at}");
+        world.acting = Some(5);
+        world.run(LEASE * 10);
+        assert_eq!(world.judge(), Ok(()), "seed {seed}");
+        assert_eq!(world.begun().len(), 1, "seed {seed}: losses alone end no hold");
+    }
+}
+
+/// Clocks whose rates differ by as much as is allowed; beyond that tokens alone are left.
+#[test]
+fn clocks_of_other_rates() {
+    for fast in [-9, 9] {
+        let mut world = held(5, 3, 17);
+        for (n, p) in world.proxies.iter_mut().enumerate() {
+            (p.fast, p.ahead) = (if n % 2 == 0 { fast } else { -fast }, 1000 * n as u64);
+        }
+        (0..5).for_each(|p| world.kill(p));
+        (0..5).for_each(|p| world.start(p));
+        world.acting = Some(2);
+        for _ in 0..6 {
+            world.run(LEASE * 6);
+            let Some(holder) = world.holder() else { continue };
+            let others: Vec<Place> = (0..5).filter(|p| *p != holder).collect();
+            world.cut(&[holder], &others);
+            world.run(LEASE * 3);
+            world.faults.cut.clear();
+        }
+        assert_eq!(world.judge(), Ok(()));
+        assert!(world.acts.iter().all(|d| d.taken), "leases alone keep the order");
+    }
+}
+
+#[test]
+fn electorates_are_checked() {
+    let new =
+        |voters: &[Place], previous: &[Place]| Electorate::new(1, voters.to_vec(), previous.to_vec(), 9);
+    assert!(new(&[0, 1, 2], &[3, 4, 5, 6, 7]).is_ok());
+    assert_eq!(new(&[0, 1], &[]), Err(Unfit::Count(2)));
+    assert_eq!(new(&[0, 1, 1], &[]), Err(Unfit::Twice(1)));
+    assert_eq!(new(&[0, 1, 9], &[]), Err(Unfit::Stranger(9)));
+    assert_eq!(Electorate::new(0, vec![0, 1, 2], vec![0, 1, 2], 9), Err(Unfit::First));
+    let joint = new(&[0, 1, 2], &[2, 3, 4]).expect("good");
+    assert!(!joint.quorum(|p| p < 3) && joint.quorum(|p| [0, 2, 3].contains(&p)));
+    assert_eq!(joint.reached(|p| Some(10 - p)), Some(7));
+}
+
+#[test]
+fn tokens_are_in_order() {
+    let token = Token::new(3, UNIX, 7);
+    assert_eq!((token.generation(), token.count(), token.place()), (3, UNIX, 7));
+    assert_eq!(token.to_string().parse(), Ok(token));
+    let above = |own, floor| token.above(floor, 3, own).expect("there is one");
+    assert_eq!((above(8, 0), above(6, 0)), (Token::new(3, UNIX, 8), Token::new(3, UNIX + 1, 6)));
+    assert_eq!(above(6, UNIX + 9), Token::new(3, UNIX + 9, 6));
+    assert_eq!(token.above(0, 2, 1), None);
+    assert_eq!(Token::new(3, u32::MAX, 9).above(0, 3, 1), None);
+    assert!("zz".parse::<Token>().is_err());
+}
--- a/crates/heathroad-fleet/src/fleet/mod.rs
+++ b/crates/heathroad-fleet/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! ask it. Who answers nobody is suspected, and can say that it is there; who says nothing is gone. A proxy that has just woken,
 //! or hears nobody, accuses nobody: the fault may be its own.
 
+pub mod carry;
 pub mod fetch;
 mod probe;
 mod receive;
@@ -17,6 +18,7 @@
 use crate::want::{Required, Want, Wanted};
 use crate::wire::{self, Head, Kind, MAX_DATAGRAM, SEAL, SPOKEN, Writer};
 use crate::{Millis, Place};
+use carry::Carried;
 use fetch::{Asked, Fetch, Fetched, Served};
 use probe::{Helping, Probe};
 use serde::Serialize;
@@ -42,10 +44,12 @@
     pub doubt: u64,
     /// Enough accusers.
     pub accusers: usize,
-    /// Most datagrams a second, those of texts not counted.
+    /// Most datagrams a second, those of texts and of others' messages not counted.
     pub most: u32,
     /// Most datagrams of texts a second.
     pub texts: u32,
+    /// Most datagrams with messages of others a second.
+    pub carries: u32,
 }
 
 impl Terms {
@@ -70,6 +74,7 @@
             accusers: 3,
             most: 40,
             texts: 200,
+            carries: 200,
         }
     }
 }
@@ -227,6 +232,8 @@
     next_gossip: Millis,
     pace: Pace,
     texts: Pace,
+    carries: Pace,
+    carried: Vec<Carried>,
     fetches: Vec<Fetch>,
     fetched: Vec<Fetched>,
     asked: Vec<Asked>,
@@ -265,6 +272,8 @@
         let mut fleet = Fleet {
             pace: Pace::new(now, terms.most),
             texts: Pace::new(now, terms.texts),
+            carries: Pace::new(now, terms.carries),
+            carried: Vec::new(),
             fetches: Vec::new(),
             fetched: Vec::new(),
             asked: Vec::new(),
--- a/crates/heathroad-fleet/src/fleet/receive.rs
+++ b/crates/heathroad-fleet/src/fleet/receive.rs
@@ -54,8 +54,10 @@
             let (member, by) = (head.from, head.from);
             self.hear(now, Claim { member, standing: Standing::Alive, incarnation, by });
         }
-        if let Kind::Part { .. } = kind {
-            return self.part_came(now, head.from, kind, items);
+        match kind {
+            Kind::Part { .. } => return self.part_came(now, head.from, kind, items),
+            Kind::Carry => return self.carry_came(&head, items),
+            _ => {}
         }
         items.into_iter().for_each(|item| self.item(now, item));
         self.answer(now, head.from, kind);
@@ -167,7 +169,7 @@
                 }
             }
             Kind::Fetch { id, topic, key, at } => self.asked_for(now, from, id, topic, key, at),
-            Kind::Gossip | Kind::Tell | Kind::Part { .. } => {}
+            Kind::Gossip | Kind::Tell | Kind::Carry | Kind::Part { .. } => {}
         }
         debug_assert!(self.out.iter().all(|s| s.bytes.len() <= MAX_DATAGRAM));
     }
--- a/crates/heathroad-fleet/src/record.rs
+++ b/crates/heathroad-fleet/src/record.rs
@@ -195,6 +195,20 @@
     pub turned_down: Vec<TurnedDown>,
 }
 
+impl Told {
+    /// Gives the oldest page up, but not the last one that is left; whether there was one.
+    pub fn give_up_oldest(&mut self) -> bool {
+        if self.pages.len() < 2 {
+            return false;
+        }
+        let page = self.pages.remove(0);
+        self.lost.pages += 1;
+        self.lost.acts = self.lost.acts.plus(page.acts);
+        self.lost.until = page.to;
+        true
+    }
+}
+
 /// A page that acts are written on. Who holds it may write on it for as long as it likes.
 #[derive(Debug)]
 pub struct Page {
--- a/crates/heathroad-fleet/src/table.rs
+++ b/crates/heathroad-fleet/src/table.rs
@@ -197,7 +197,13 @@
 
     /// How many members are there, suspected or not.
     pub fn present(&self) -> usize {
-        self.members.iter().filter(|m| matches!(m.standing, Standing::Alive | Standing::Suspect)).count()
+        self.there().count()
+    }
+
+    /// Those who are there, suspected or not.
+    pub fn there(&self) -> impl Iterator<Item = Place> {
+        let there = |m: &Member| matches!(m.standing, Standing::Alive | Standing::Suspect);
+        self.all().filter(move |(_, m)| there(m)).map(|(place, _)| place)
     }
 
     /// What stands of a member, as a word that can be passed on.
--- a/crates/heathroad-fleet/src/wire.rs
+++ b/crates/heathroad-fleet/src/wire.rs
@@ -204,6 +204,8 @@
         /// Which part, from 0.
         at: u32,
     },
+    /// Bytes stand in the items that are others' to understand; see [`crate::fleet::Fleet::carry`].
+    Carry,
     /// A part of a text stands in the items.
     Part {
         /// That of the question.
@@ -223,6 +225,10 @@
     Record = 1,
     /// A generation of routes, by its digest.
     Routes = 2,
+    /// What a proxy knows of who held which duty.
+    Duties = 3,
+    /// What the fleet's collector keeps, by its digest; all zeros for what there is.
+    Collected = 4,
 }
 
 /// A piece of news.
@@ -368,6 +374,7 @@
             to.bytes(&key.0);
             to.u32(at);
         }
+        Kind::Carry => to.u8(10),
         Kind::Part { id, length, at } => (to.u8(9), to.u32(id), to.u32(length), to.u32(at)).3,
     }
     let mut written = 0;
@@ -398,10 +405,13 @@
             let topic = match from.u8()? {
                 1 => Topic::Record,
                 2 => Topic::Routes,
+                3 => Topic::Duties,
+                4 => Topic::Collected,
                 _ => return Err(Torn),
             };
             Kind::Fetch { id, topic, key: Digest(from.array()?), at: from.u32()? }
         }
+        10 => Kind::Carry,
         9 => Kind::Part { id: from.u32()?, length: from.u32()?, at: from.u32()? },
         _ => return Err(Torn),
     };
--- /dev/null
+++ b/crates/heathroad/src/configuration/duty.rs
@@ -0,0 +1,150 @@
+//! The duties of a fleet, as its file names them.
+
+use heathroad_duty::electorate::Electorate;
+use heathroad_duty::{DutyId, LEASE_MS, Terms};
+use heathroad_fleet::Place;
+use serde::Deserialize;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Most duties.
+const MAX_DUTIES: usize = 16;
+/// Longest name, in bytes.
+const MAX_NAME: usize = 32;
+/// Between two acts of a duty's work, in milliseconds.
+const EVERY_MS: std::ops::RangeInclusive<u64> = 10..=3_600_000;
+
+/// Where a duty's work calls.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// Whom.
+    pub address: SocketAddr,
+    /// What there.
+    pub path: String,
+    /// How often.
+    pub every: Duration,
+}
+
+/// What a duty's work is.
+#[derive(Debug, Clone)]
+pub enum Kind {
+    /// To call an address.
+    Call(Call),
+    /// To keep the whole audit.
+    Collect {
+        /// How long one round through the fleet takes.
+        every: Duration,
+    },
+}
+
+/// A duty.
+#[derive(Debug, Clone)]
+pub struct Duty {
+    /// Its name.
+    pub name: String,
+    /// Its work.
+    pub kind: Kind,
+}
+
+/// What a start needs of them.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Who votes.
+    pub electorate: Electorate,
+    /// Times.
+    pub terms: Terms,
+    /// The duties.
+    pub duties: Vec<Duty>,
+}
+
+/// `[duties]` in the fleet's file.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Duties {
+    voters: Vec<Place>,
+    #[serde(default)]
+    generation: u16,
+    #[serde(default)]
+    previous: Vec<Place>,
+    #[serde(default = "usual_lease")]
+    lease_ms: u64,
+}
+
+fn usual_lease() -> u64 {
+    5000
+}
+
+/// One `[[duty]]` there.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Named {
+    name: String,
+    work: Work,
+    address: Option<SocketAddr>,
+    path: Option<String>,
+    every_ms: Option<u64>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Work {
+    Call,
+    Collect,
+}
+
+/// Checks them; `members` are the fleet's.
+pub fn check(duties: Option<Duties>, named: Vec<Named>, members: u16) -> Result<Option<Settings>, String> {
+    let Some(Duties { voters, generation, previous, lease_ms }) = duties else {
+        return if named.is_empty() {
+            Ok(None)
+        } else {
+            Err("duty: needs `[duties]` with its voters".into())
+        };
+    };
+    let electorate = Electorate::new(generation, voters, previous, members);
+    let electorate = electorate.map_err(|e| format!("duties: voters: {e}"))?;
+    if !LEASE_MS.contains(&lease_ms) {
+        let [least, most] = [LEASE_MS.start(), LEASE_MS.end()];
+        return Err(format!("duties: lease_ms: {lease_ms}; expected {least} to {most}"));
+    }
+    if named.len() > MAX_DUTIES {
+        return Err(format!("duty: {}; expected {MAX_DUTIES} at most", named.len()));
+    }
+    let mut ids = BTreeSet::new();
+    let mut duties = Vec::new();
+    for duty in named {
+        let Named { name, work, address, path, every_ms } = duty;
+        let wrong = |what: &str| format!("duty {name:?}: {what}");
+        let plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
+        if name.is_empty() || name.len() > MAX_NAME || !name.bytes().all(plain) {
+            return Err(wrong(&format!("name: expected 1 to {MAX_NAME} letters, digits, `-`, `_` or `.`")));
+        }
+        if !ids.insert(DutyId::of(&name)) {
+            return Err(wrong("name: is taken by another, or told apart from one by nothing"));
+        }
+        let every = |usual: u64| {
+            let ms = every_ms.unwrap_or(usual);
+            let [least, most] = [EVERY_MS.start(), EVERY_MS.end()];
+            let good = EVERY_MS.contains(&ms).then(|| Duration::from_millis(ms));
+            good.ok_or_else(|| wrong(&format!("every_ms: {ms}; expected {least} to {most}")))
+        };
+        let kind = match work {
+            Work::Call => {
+                let address = address.ok_or_else(|| wrong("address: is missing; its work calls one"))?;
+                let path = path.unwrap_or_else(|| "/".into());
+                let visible = path.starts_with('/') && path.bytes().all(|b| b.is_ascii_graphic());
+                if !visible {
+                    return Err(wrong(&format!("path: {path:?}: expected one that begins with `/`")));
+                }
+                Kind::Call(Call { address, path, every: every(1000)? })
+            }
+            Work::Collect if address.is_some() || path.is_some() => {
+                return Err(wrong("address, path: are of use where its work is to call"));
+            }
+            Work::Collect => Kind::Collect { every: every(30_000)? },
+        };
+        duties.push(Duty { name, kind });
+    }
+    Ok(Some(Settings { electorate, terms: Terms { lease: lease_ms }, duties }))
+}
--- a/crates/heathroad/src/configuration/fleet.rs
+++ b/crates/heathroad/src/configuration/fleet.rs
@@ -36,6 +36,8 @@
     pub sure_for: Option<Duration>,
     /// Backends are told by which version each attempt was decided; for rehearsals.
     pub tells_backends: bool,
+    /// The duties, where there are voters.
+    pub duties: Option<super::duty::Settings>,
 }
 
 #[derive(Deserialize)]
@@ -48,6 +50,9 @@
     fence_unsure_after_ms: Option<u64>,
     #[serde(default = "usual_period")]
     period_ms: u64,
+    duties: Option<super::duty::Duties>,
+    #[serde(default)]
+    duty: Vec<super::duty::Named>,
 }
 
 fn usual_period() -> u64 {
@@ -99,7 +104,10 @@
     }
     let own = Place::try_from(addresses.own).ok().filter(|own| usize::from(*own) < peers.len());
     let own = own.ok_or("config: peers: expected one address for each proxy, at its settings.slotNo")?;
+    let members = u16::try_from(peers.len()).map_err(|_| "config: peers: too many")?;
+    let duties = super::duty::check(read.duties, read.duty, members).map_err(|e| wrong(&e))?;
     Ok(Settings {
+        duties,
         name: read.name,
         seal,
         listen: address("peer_listen", listen)?,
--- a/crates/heathroad/src/configuration/mod.rs
+++ b/crates/heathroad/src/configuration/mod.rs
@@ -1,6 +1,7 @@
 //! What the proxy is told at its start: the environment and the configuration file, checked.
 
 pub mod disk;
+pub mod duty;
 pub mod fleet;
 pub mod gate;
 pub mod routes;
--- a/crates/heathroad/src/fleet/audit.rs
+++ b/crates/heathroad/src/fleet/audit.rs
@@ -2,9 +2,11 @@
 //! what was last heard is told, and that nothing is known beyond it.
 
 use super::Peers;
+use crate::duty::Duties;
+use crate::duty::collect::Kept;
 use heathroad_fleet::Place;
 use heathroad_fleet::fleet::fetch::Unfetched;
-use heathroad_fleet::record::{Kept, Spell, Told};
+use heathroad_fleet::record::{Kept as Interval, Spell, Told};
 use heathroad_fleet::table::Standing;
 use heathroad_fleet::version::Digest;
 use heathroad_fleet::wire::Topic;
@@ -45,7 +47,7 @@
     }
 
     /// Whether a page is asked for; times of the page are moved by `off` to the asker's clock.
-    fn wants(&self, kept: &Kept, at: u64, off: i64) -> bool {
+    fn wants(&self, kept: &Interval, at: u64, off: i64) -> bool {
         let here = |t: u64| t.saturating_add_signed(off);
         let end = kept.to.map_or(here(at), here).max(kept.last.map_or(0, here));
         self.since.is_none_or(|since| end >= since)
@@ -54,25 +56,56 @@
     }
 }
 
-/// A record and how its clock lies to this proxy's: `off` is to be added to its times, give or take `error`.
-struct Heard {
-    told: Told,
-    off: i64,
-    error: u64,
+/// How another's clock lies to this proxy's: `off` is to be added to its times, give or take `error`, in milliseconds.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Off {
+    /// To be added.
+    pub off: i64,
+    /// Give or take so much.
+    pub error: u64,
 }
 
-async fn record(peers: &Peers, of: Place) -> Result<Heard, Unfetched> {
-    let (text, span) = peers.fetch(of, Topic::Record, Digest::default(), PATIENCE).await?;
-    let told: Told = serde_json::from_slice(&text).map_err(|_| Unfetched::Spoilt)?;
+impl Off {
+    /// Another's time by this proxy's clock.
+    pub fn here(self, time: u64) -> u64 {
+        time.saturating_add_signed(self.off)
+    }
+}
+
+/// A record, and how its clock lies.
+pub struct Heard {
+    /// The record.
+    pub told: Told,
+    /// To be added to its times.
+    pub off: i64,
+    /// Give or take so much.
+    pub error: u64,
+}
+
+/// What a member tells as JSON that says when it was written down.
+pub async fn told<T: serde::de::DeserializeOwned>(
+    peers: &Peers,
+    of: Place,
+    topic: Topic,
+    at: impl Fn(&T) -> u64,
+) -> Result<(T, Off), Unfetched> {
+    let (text, span) = peers.fetch(of, topic, Digest::default(), PATIENCE).await?;
+    let told: T = serde_json::from_slice(&text).map_err(|_| Unfetched::Spoilt)?;
     // It was written down somewhere in that span.
     let middle = span.begun.saturating_add(span.within / 2);
-    let off = i64::try_from(i128::from(middle) - i128::from(told.at)).unwrap_or(i64::MAX);
-    Ok(Heard { told, off, error: span.within.div_ceil(2) })
+    let off = i64::try_from(i128::from(middle) - i128::from(at(&told))).unwrap_or(i64::MAX);
+    Ok((told, Off { off, error: span.within.div_ceil(2) }))
+}
+
+/// A member's record.
+pub async fn record(peers: &Peers, of: Place) -> Result<Heard, Unfetched> {
+    let (told, Off { off, error }) = told::<Told>(peers, of, Topic::Record, |t| t.at).await?;
+    Ok(Heard { told, off, error })
 }
 
 fn pages(ask: &Ask, told: &Told, off: i64) -> Vec<Value> {
     let wanted = told.pages.iter().filter(|p| ask.wants(p, told.at, off));
-    let page = |kept: &Kept| {
+    let page = |kept: &Interval| {
         let mut page = serde_json::to_value(kept).unwrap_or_default();
         for time in ["from", "to", "first", "last"] {
             if let Some(t) = page[time].as_u64() {
@@ -90,7 +123,7 @@
     told.spells.iter().map(spell).collect()
 }
 
-fn told(ask: &Ask, told: &Told, off: i64, error: u64) -> Value {
+fn member(ask: &Ask, told: &Told, off: i64, error: u64) -> Value {
     let here = |t: u64| t.saturating_add_signed(off);
     json!({
         "reached": true, "clock_off_ms": -off, "clock_error_ms": error, "since": here(told.since), "at": here(told.at),
@@ -99,8 +132,16 @@
     })
 }
 
-/// Asks every member for its record.
-pub async fn audit(peers: Rc<Peers>, ask: Ask) -> Value {
+/// What the collector kept of a member: by the collector's clock, and of nothing after it was collected.
+fn collected(ask: &Ask, kept: &Kept) -> Value {
+    let mut told = member(ask, &kept.told, kept.off, kept.error);
+    told["reached"] = false.into();
+    (told["by"], told["collected_at"]) = (kept.by.into(), kept.at.into());
+    told
+}
+
+/// Asks every member for its record. Of whom it does not reach, what the fleet's collector kept is told, where there is one.
+pub async fn audit(peers: Rc<Peers>, duties: Option<Rc<Duties>>, ask: Ask) -> Value {
     let acts = &peers.acts;
     let views = peers.members();
     let mut asking = JoinSet::new();
@@ -121,12 +162,19 @@
             heard.insert(place, record);
         }
     }
+    let apart =
+        heard.values().filter(|h| h.is_err()).count() + views["members"].as_array().map_or(0, Vec::len);
+    let kept = match &duties {
+        // Nobody is left to be told of but this proxy itself and those who were reached.
+        Some(duties) if apart > heard.len() + 1 => duties.collected().await,
+        _ => None,
+    };
     let mut members = Vec::new();
     for view in views["members"].as_array().into_iter().flatten() {
         let place = view["place"].as_u64().and_then(|p| Place::try_from(p).ok()).unwrap_or(Place::MAX);
         let mut member = match heard.remove(&place) {
-            _ if place == own => told(&ask, &acts.told(), 0, 0),
-            Some(Ok(h)) => told(&ask, &h.told, h.off, h.error),
+            _ if place == own => member(&ask, &acts.told(), 0, 0),
+            Some(Ok(h)) => member(&ask, &h.told, h.off, h.error),
             other => {
                 let why = match other {
                     Some(Err(Unfetched::NotThere)) => "it keeps no record",
@@ -136,8 +184,9 @@
                     None => "it is not there, as far as is known here",
                 };
                 // What it did since it was last heard, on which version and until when, nobody here can know.
+                let kept = kept.as_ref().and_then(|k| k.get(place)).map(|k| collected(&ask, k));
                 json!({"reached": false, "why": why, "last_heard_ms": view["heard_ms"], "last_acts": view["acts"],
-                    "last_version": view["version"], "unknown_until": Value::Null})
+                    "last_version": view["version"], "unknown_until": Value::Null, "collected": kept})
             }
         };
         for known in ["place", "address", "standing", "incarnation", "me"] {
--- a/crates/heathroad/src/fleet/mod.rs
+++ b/crates/heathroad/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 use crate::configuration::fleet::Settings;
 use crate::effort::{sleep, sleep_until, spawn_local, timeout};
 use acts::{Acts, Committed};
+use heathroad_fleet::fleet::carry::Carried;
 use heathroad_fleet::fleet::fetch::{Fetched, Unfetched};
 use heathroad_fleet::fleet::{Fleet, News};
 use heathroad_fleet::version::Digest;
@@ -43,8 +44,11 @@
 
 type Waiting = oneshot::Sender<Fetched>;
 
+/// Texts that others than the fleet itself tell.
+type Texts = Box<dyn Fn(Topic, Digest) -> Option<Vec<u8>>>;
+
 /// From when on, Unix time in milliseconds, and for how long.
-struct Span {
+pub struct Span {
     begun: u64,
     within: Millis,
 }
@@ -64,6 +68,8 @@
     /// A proxy that has confirmed nothing for so long does not know what is required.
     sure_for: Option<Duration>,
     wanted: watch::Sender<Wanted>,
+    came: Notify,
+    texts: RefCell<Option<Texts>>,
 }
 
 impl Peers {
@@ -95,6 +101,8 @@
             state,
             sure_for,
             wanted,
+            came: Notify::new(),
+            texts: RefCell::default(),
         });
         spawn_local(peers.clone().run());
         if let Some(folder) = peers.state.clone() {
@@ -103,7 +111,18 @@
         Ok(peers)
     }
 
-    fn now(&self) -> Millis {
+    /// This proxy's place.
+    pub fn place(&self) -> Place {
+        self.fleet.borrow().own()
+    }
+
+    /// When this proxy's monotonic clock was at 0.
+    pub fn started(&self) -> Instant {
+        self.started
+    }
+
+    /// Milliseconds of this proxy's monotonic clock.
+    pub fn now(&self) -> Millis {
         u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
@@ -165,10 +184,42 @@
                     let now = self.now();
                     self.fleet.borrow_mut().receive(now, &bytes[..length]);
                 }
-                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => break,
                 Err(_) => {}
             }
         }
+        if self.fleet.borrow().any_carried() {
+            self.came.notify_one();
+        }
+    }
+
+    /// Waits until messages of others than the fleet itself have come.
+    pub async fn carried_any(&self) {
+        self.came.notified().await;
+    }
+
+    /// Those that came since the last look.
+    pub fn carried(&self) -> Vec<Carried> {
+        self.fleet.borrow_mut().carried().collect()
+    }
+
+    /// Sends such a message.
+    pub fn carry(&self, to: Place, bytes: Vec<u8>) {
+        let now = self.now();
+        self.fleet.borrow_mut().carry(now, to, bytes);
+        self.send_out();
+    }
+
+    /// Who is there, and this proxy too if it is `willing` to be counted.
+    pub fn there(&self, willing: bool) -> Vec<Place> {
+        let fleet = self.fleet.borrow();
+        let own = fleet.own();
+        fleet.table().there().filter(|p| willing || *p != own).collect()
+    }
+
+    /// Has texts that the fleet itself does not know told by somebody.
+    pub fn serve(&self, texts: Texts) {
+        self.texts.replace(Some(texts));
     }
 
     fn carry_out(&self) {
@@ -178,16 +229,16 @@
             let text = match one.topic {
                 Topic::Record => serde_json::to_vec(&self.acts.told()).ok(),
                 Topic::Routes => self.acts.routes(one.key).map(|t| t.as_bytes().to_vec()),
+                Topic::Duties | Topic::Collected => {
+                    self.texts.borrow().as_ref().and_then(|texts| texts(one.topic, one.key))
+                }
             };
             let now = self.now();
             fleet.serve(now, one, text);
         }
-        for send in fleet.sends() {
-            if let Some(to) = self.addresses.get(usize::from(send.to)) {
-                // One that can't go now is lost, as any may be.
-                let _ = self.socket.try_send_to(&send.bytes, *to);
-            }
-        }
+        drop(fleet);
+        self.send_out();
+        let mut fleet = self.fleet.borrow_mut();
         for fetched in fleet.fetched() {
             if let Some(waiting) = self.waiting.borrow_mut().remove(&fetched.id) {
                 // Whoever asked may have left.
@@ -199,6 +250,15 @@
         }
     }
 
+    fn send_out(&self) {
+        for send in self.fleet.borrow_mut().sends() {
+            if let Some(to) = self.addresses.get(usize::from(send.to)) {
+                // One that can't go now is lost, as any may be.
+                let _ = self.socket.try_send_to(&send.bytes, *to);
+            }
+        }
+    }
+
     fn tell(&self, news: News) {
         let mut kept = self.news.borrow_mut();
         if kept.len() == KEPT {
@@ -269,7 +329,7 @@
     }
 
     /// Fetches a text from a member, with the span in which it was as it is.
-    async fn fetch(
+    pub async fn fetch(
         &self,
         to: Place,
         topic: Topic,
--- a/crates/heathroad/src/lib.rs
+++ b/crates/heathroad/src/lib.rs
@@ -10,6 +10,8 @@
 //!   events, in one order, and carries out its actions.
 //! - `backend` carries out attempts over kept connections, and says what each ending means.
 //!
+//! `fleet` is this proxy among its fellows, `duty` what one of them alone does at a time (decided in `heathroad-duty`).
+//!
 //! Beside that way: `configuration` is read at the start and kept on disk, `discovery` follows the list of backends,
 //! `operation` is the command line and the address at which operators ask. Both ends of the way use `stream`, which watches how
 //! far a request got on a connection, `budget`, `counts`, and `effort`, which counts what requests ask of the system.
@@ -22,6 +24,7 @@
 mod configuration;
 mod counts;
 mod discovery;
+mod duty;
 mod effort;
 mod engine;
 mod fleet;
@@ -36,6 +39,7 @@
 use configuration::Config;
 use counts::{Counts, Meter};
 use discovery::News;
+use duty::{Duties, Store};
 use engine::{Engine, millis};
 use fleet::Peers;
 use fleet::acts::Acts;
@@ -67,6 +71,8 @@
 /// Descriptors that are neither callers' nor backends' connections: standard streams, the listener, the
 /// reactor, signals, discovery, and connections that are taken only to be refused.
 const RESERVED: usize = 16 + room::SPARE;
+/// Descriptors of the duties: their file, and calls.
+const DUTIES: usize = 4;
 /// The bodies of open requests may fill this part of the memory; the rest is for buffers, answers and the program.
 const BODIES: usize = 4;
 
@@ -166,7 +172,9 @@
     let mut reloaded = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     // Each request in work holds a connection on either side; kept ones fill what is left.
     let admin = if config.admin.is_some() { 1 + admin::CONNECTIONS } else { 0 };
-    let usable = config.sockets - RESERVED - admin - usize::from(config.fleet.is_some());
+    // The peers' port; the file of the duties, and a call of one's work.
+    let fleet = config.fleet.as_ref().map_or(0, |f| if f.duties.is_some() { 1 + DUTIES } else { 1 });
+    let usable = config.sockets - RESERVED - admin - fleet;
     let acts = config.fleet.as_ref().map(|fleet| {
         let before = config.state.as_deref().map(fleet::read).transpose().unwrap_or_else(|e| {
             tracing::warn!("fleet: record: {e}");
@@ -194,10 +202,16 @@
         Lists::One { engine, .. } => Router::One(engine.clone()),
         Lists::Routes(many) => Router::Many(many.clone()),
     });
-    let peers = match config.fleet.take().zip(acts) {
-        Some((fleet, acts)) => Some(Peers::begin(fleet, config.seed, acts, config.state.clone()).await?),
-        None => None,
-    };
+    let (mut peers, mut duties) = (None, None);
+    if let Some((mut fleet, acts)) = config.fleet.take().zip(acts) {
+        let named = fleet.duties.take();
+        let among = Peers::begin(fleet, config.seed, acts, config.state.clone()).await?;
+        if let Some(named) = named {
+            let store = config.state.as_deref().map(Store::open).transpose()?;
+            duties = Some(Duties::begin(named, seed(), among.clone(), store).await?);
+        }
+        peers = Some(among);
+    }
     if let (Some(peers), Router::Many(many)) = (&peers, &*router) {
         spawn_local(straggler::follow(Rc::downgrade(many), peers.clone(), config.seed));
     }
@@ -206,7 +220,8 @@
         let listener = TcpListener::bind(address).await.map_err(|e| format!("admin: {address}: {e}"))?;
         let bound = listener.local_addr().map_err(|e| format!("admin: {e}"))?;
         tracing::info!(address = %bound, "admin on {bound}");
-        spawn_local(admin::serve(listener, router.clone(), peers.clone(), descriptors));
+        let asked = admin::Asked { router: router.clone(), peers: peers.clone(), duties: duties.clone() };
+        spawn_local(admin::serve(listener, asked, descriptors));
     }
     let kept = router.clone();
     spawn_local(async move {
@@ -250,6 +265,9 @@
         many.handle(Event::Stop);
     }
     engines.iter().for_each(|e| e.end_by(Instant::now() + LAST));
+    if let Some(duties) = &duties {
+        duties.stop().await;
+    }
     sleep(LINGER).await;
     stop.send_replace(true);
     // All is answered by `LAST`; a caller that does not take its answer must not keep the program.
--- a/crates/heathroad/src/operation/admin.rs
+++ b/crates/heathroad/src/operation/admin.rs
@@ -1,6 +1,7 @@
 //! The operators' address, off unless it is named: what the daemon counts, as Prometheus text and as JSON, and where
 //! there are routes, changing them.
 
+use crate::duty::Duties;
 use crate::effort::{sleep, spawn_local, timeout};
 use crate::fleet::Peers;
 use crate::fleet::audit::{self, Ask};
@@ -34,8 +35,19 @@
 
 type Reply = Response<Full<Bytes>>;
 
+/// Who is asked.
+#[derive(Clone)]
+pub struct Asked {
+    /// Of counts and routes.
+    pub router: Rc<Router>,
+    /// Of the fleet.
+    pub peers: Option<Rc<Peers>>,
+    /// Of duties.
+    pub duties: Option<Rc<Duties>>,
+}
+
 /// Answers for ever.
-pub async fn serve(listener: TcpListener, router: Rc<Router>, peers: Option<Rc<Peers>>, descriptors: usize) {
+pub async fn serve(listener: TcpListener, asked: Asked, descriptors: usize) {
     let places = Arc::new(Semaphore::new(CONNECTIONS));
     loop {
         let Ok(place) = places.clone().acquire_owned().await else { return };
@@ -43,13 +55,17 @@
             sleep(STARVED).await;
             continue;
         };
-        let (router, peers) = (router.clone(), peers.clone());
+        let asked = asked.clone();
         spawn_local(async move {
             let _place = place;
             let service = service_fn(async |request: Request<Incoming>| {
-                let reply = match request.uri().path().starts_with("/fleet/") {
-                    true => fleet(peers.as_ref(), &request).await,
-                    false => answer(&router, descriptors, request).await,
+                let path = request.uri().path();
+                let reply = if path.starts_with("/fleet/") {
+                    fleet(&asked, &request).await
+                } else if path.starts_with("/duty/") {
+                    duty(asked.duties.as_ref(), &request).await
+                } else {
+                    answer(&asked.router, descriptors, request).await
                 };
                 Ok::<_, Infallible>(reply)
             });
@@ -62,20 +78,18 @@
 }
 
 /// What is asked of the fleet.
-async fn fleet(peers: Option<&Rc<Peers>>, request: &Request<Incoming>) -> Reply {
-    let Some(peers) = peers else {
+async fn fleet(asked: &Asked, request: &Request<Incoming>) -> Reply {
+    let Some(peers) = &asked.peers else {
         let why = "no fleet: the daemon's file names none";
         return said(StatusCode::NOT_FOUND, TEXT, why.into());
     };
     if request.method() != Method::GET {
-        let mut reply = plain(StatusCode::METHOD_NOT_ALLOWED);
-        reply.headers_mut().insert(ALLOW, HeaderValue::from_static("GET"));
-        return reply;
+        return only("GET");
     }
     let told = match request.uri().path() {
         "/fleet/members" => peers.members(),
         "/fleet/audit" => match Ask::read(request.uri().query().unwrap_or_default()) {
-            Ok(ask) => audit::audit(peers.clone(), ask).await,
+            Ok(ask) => audit::audit(peers.clone(), asked.duties.clone(), ask).await,
             Err(wrong) => return said(StatusCode::BAD_REQUEST, TEXT, wrong),
         },
         _ => return plain(StatusCode::NOT_FOUND),
@@ -83,6 +97,38 @@
     said(StatusCode::OK, "application/json", told.to_string())
 }
 
+/// What is asked of duties.
+async fn duty(duties: Option<&Rc<Duties>>, request: &Request<Incoming>) -> Reply {
+    let Some(duties) = duties else {
+        let why = "no duties: the daemon's file names no fleet whose file has `[duties]`";
+        return said(StatusCode::NOT_FOUND, TEXT, why.into());
+    };
+    let allowed = match request.uri().path() {
+        "/duty/list" | "/duty/history" => "GET",
+        "/duty/resign" => "POST",
+        _ => return plain(StatusCode::NOT_FOUND),
+    };
+    if request.method().as_str() != allowed {
+        return only(allowed);
+    }
+    let told = match request.uri().path() {
+        "/duty/list" => duties.list().await,
+        "/duty/history" => duties.history().await,
+        _ => {
+            let name = request.uri().query().and_then(|q| q.strip_prefix("name=")).unwrap_or_default();
+            return match duties.resign(name) {
+                Some(true) => said(StatusCode::OK, TEXT, format!("{name} is let go of")),
+                Some(false) => {
+                    let why = format!("{name} is not held here; it is not sought here for ten leases");
+                    said(StatusCode::OK, TEXT, why)
+                }
+                None => said(StatusCode::NOT_FOUND, TEXT, format!("{name:?}: no duty has that name")),
+            };
+        }
+    };
+    said(StatusCode::OK, "application/json", told.to_string())
+}
+
 async fn answer(router: &Router, descriptors: usize, request: Request<Incoming>) -> Reply {
     let (head, body) = request.into_parts();
     let (get, path) = (head.method == Method::GET, head.uri.path());
@@ -92,9 +138,7 @@
         _ => return plain(StatusCode::NOT_FOUND),
     };
     if get != (allowed == "GET") || !get && head.method != Method::POST {
-        let mut reply = plain(StatusCode::METHOD_NOT_ALLOWED);
-        reply.headers_mut().insert(ALLOW, HeaderValue::from_static(allowed));
-        return reply;
+        return only(allowed);
     }
     match (path, router) {
         ("/metrics", _) => {
@@ -170,6 +214,12 @@
     reply
 }
 
+fn only(method: &'static str) -> Reply {
+    let mut reply = plain(StatusCode::METHOD_NOT_ALLOWED);
+    reply.headers_mut().insert(ALLOW, HeaderValue::from_static(method));
+    reply
+}
+
 fn plain(status: StatusCode) -> Reply {
     let mut reply = Response::new(Full::default());
     *reply.status_mut() = status;
