--- a/crates/heathroad-duty/src/seat.rs
+++ b/crates/heathroad-duty/src/seat.rs
@@ -100,6 +100,8 @@
     freed: Vec<Place>,
     again: Millis,
     rounds: u8,
+    /// Who is to have it now.
+    next: Option<Place>,
 }
 
 /// What everything that a seat does is done by.
@@ -134,6 +136,8 @@
     next: Millis,
     /// It does not ask before, whoever is there.
     barred: Millis,
+    /// Until then it may be free though voters say that it is held: its holder has said so.
+    promised: Millis,
     round: u32,
     rounds: VecDeque<(u32, Millis)>,
     parting: Option<Parting>,
@@ -157,6 +161,7 @@
             highest: Token::default(),
             next: now,
             barred: now,
+            promised: now,
             round: 0,
             rounds: VecDeque::new(),
             parting: None,
@@ -214,7 +219,7 @@
             && now >= h.until
         {
             let token = h.token;
-            self.end(now, token, Ended::Lapsed, with);
+            self.end(now, token, Ended::Lapsed, None, with);
         }
     }
 
@@ -233,7 +238,7 @@
                 let token = a.token;
                 let slot = with.terms.patience();
                 self.away(now + with.rng.u64(0..=slot) + slot * u64::from(with.rank));
-                self.let_go(now, token, with);
+                self.let_go(now, token, None, with);
             }
             Phase::Asking(a) => {
                 if now >= a.again {
@@ -312,15 +317,15 @@
         self.next = next;
     }
 
-    fn end(&mut self, now: Millis, token: Token, why: Ended, with: &mut With<'_>) {
+    fn end(&mut self, now: Millis, token: Token, why: Ended, next: Option<Place>, with: &mut With<'_>) {
         self.events.push_back(Event::End { token, why });
         // Whoever is next in turn is first: this one has just shown that it is cut off, or slow, or not willing.
         self.away(now + with.terms.lease / 2);
-        self.let_go(now, token, with);
+        self.let_go(now, token, next, with);
     }
 
-    fn let_go(&mut self, now: Millis, token: Token, with: &mut With<'_>) {
-        self.parting = Some(Parting { token, freed: Vec::new(), again: now, rounds: 0 });
+    fn let_go(&mut self, now: Millis, token: Token, next: Option<Place>, with: &mut With<'_>) {
+        self.parting = Some(Parting { token, freed: Vec::new(), again: now, rounds: 0, next });
         self.part(now, with);
     }
 
@@ -328,12 +333,13 @@
     fn part(&mut self, now: Millis, with: &mut With<'_>) {
         let Some(p) = self.parting.as_mut().filter(|p| now >= p.again) else { return };
         (p.again, p.rounds) = (now + with.terms.again(), p.rounds + 1);
-        let (token, over) = (p.token, p.rounds >= PARTING);
+        let (token, over, next) = (p.token, p.rounds >= PARTING, p.next);
         let to: Vec<Place> = with.electorate.all().filter(|v| !p.freed.contains(v)).collect();
         if over || to.is_empty() {
             self.parting = None;
         }
         with.out.extend(to.into_iter().map(|to| self.message(to, What::Resign { token })));
+        with.out.extend(next.map(|to| self.message(to, What::Yours)));
     }
 
     /// Lets the duty go, or does not seek it for a while. `next` is who should have it now.
@@ -348,14 +354,11 @@
             Phase::Asking(a) => {
                 let token = a.token;
                 self.away(now);
-                self.let_go(now, token, with);
+                self.let_go(now, token, None, with);
             }
             Phase::Holding(h) => {
                 let token = h.token;
-                self.end(now, token, why, with);
-                if let Some(to) = next.filter(|to| *to != with.own) {
-                    with.out.push(self.message(to, What::Yours));
-                }
+                self.end(now, token, why, next, with);
             }
         }
     }
@@ -416,6 +419,7 @@
                 if let Phase::Away = self.phase
                     && now >= self.barred
                 {
+                    self.promised = now + with.terms.patience();
                     self.seek(now, with);
                 }
             }
@@ -500,11 +504,13 @@
             // Its own token was too low; it knows better now.
             // Not at once: counts must not go faster than time, see [`Token`].
             Why::Low => now + slot / 4 + with.rng.u64(0..=slot / 4) + turn,
+            // Voters have not heard yet that it is free.
+            Why::Held if now < self.promised => now + with.terms.again() / 4,
             _ => now + left + with.rng.u64(0..=slot / 4) + turn,
         };
         self.away(next);
         if granted {
-            self.let_go(now, token, with);
+            self.let_go(now, token, None, with);
         }
     }
 
--- a/crates/heathroad-duty/tests/common/mod.rs
+++ b/crates/heathroad-duty/tests/common/mod.rs
@@ -100,6 +100,10 @@
 
 impl World {
     pub fn new(members: u16, voters: u16, seed: u64) -> World {
+        World::with_lease(members, voters, seed, LEASE)
+    }
+
+    pub fn with_lease(members: u16, voters: u16, seed: u64, lease: Millis) -> World {
         let electorate = electorate(voters, members);
         let proxy = |_| Proxy {
             duties: None,
@@ -131,7 +135,7 @@
             under_way: Vec::new(),
             queue: BinaryHeap::new(),
             count: 0,
-            terms: Terms { lease: LEASE },
+            terms: Terms { lease },
         };
         (0..members).for_each(|p| world.start(p));
         world
