A plan that ends without a holder says how voters stand

Need: 2 of some 60 seeded plans found nobody acting 15 s after all was well, and played again both were fine: the state that explains it was not told. Change: the failure tells each proxy's list of duties.

--- a/crates/heathroad-rehearsal/tests/plans.rs
+++ b/crates/heathroad-rehearsal/tests/plans.rs
@@ -130,7 +130,11 @@
         // One that was under way may come yet: a few are waited for.
         while self.gate.acts().iter().skip(before).filter(|a| a.taken).count() < 5 {
             if well.elapsed() > BOUND {
-                return Err(format!("nobody acts, {BOUND:?} after all is well"));
+                let mut told = Vec::new();
+                for who in 0..self.proxies {
+                    told.push(self.fleet.ask(who, "/duty/list").await.map_or_else(|e| e, |t| t.to_string()));
+                }
+                return Err(format!("nobody acts, {BOUND:?} after all is well: {}", told.join("\n")));
             }
             sleep(Duration::from_millis(20)).await;
         }
