Rehearsals duty-handover and duty-split: a duty on the stage, its acts judged

The stage opens the kit's gate, has the fleet's proxies hold a duty that calls it, and judges order, holds, refusals and the longest pause (figures duty_*); requests go on beside it.

--- a/crates/heathroad-rehearsal/src/outcome.rs
+++ b/crates/heathroad-rehearsal/src/outcome.rs
@@ -6,6 +6,7 @@
 use crate::clock::{Micros, show};
 use crate::judge::{self, Rule, Terms, Verdict};
 use crate::stage::Seen;
+use crate::stand_in::gate;
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use std::fmt::Write;
@@ -263,6 +264,7 @@
             "attempts_multiple" => Some(multiple(seen)),
             "loops_ended" => Some(counted(seen, |v| v["budget"]["loops"].as_f64())),
             other if other.starts_with("fleet_") => audited::figure(seen, other),
+            other if other.starts_with("duty_") => seen.duty.as_ref().and_then(|d| gate::figure(d, other)),
             other => verdict.figure(other),
         };
         let Some(figure) = figure else { continue };
--- a/crates/heathroad-rehearsal/src/scenario.rs
+++ b/crates/heathroad-rehearsal/src/scenario.rs
@@ -24,6 +24,8 @@
     ("fleet-straggler", include_str!("../../../rehearsals/fleet-straggler.toml")),
     ("fleet-split", include_str!("../../../rehearsals/fleet-split.toml")),
     ("fleet-stall", include_str!("../../../rehearsals/fleet-stall.toml")),
+    ("duty-handover", include_str!("../../../rehearsals/duty-handover.toml")),
+    ("duty-split", include_str!("../../../rehearsals/duty-split.toml")),
     ("any-night", include_str!("../../../rehearsals/any-night.toml")),
     ("flood", include_str!("../../../rehearsals/flood.toml")),
     ("short", include_str!("../../../rehearsals/short.toml")),
@@ -236,6 +238,9 @@
     /// A proxy that can't know what is required fences itself after so long.
     #[serde(default)]
     pub fence_unsure_after_ms: Option<u64>,
+    /// They have a duty, whose lease is so long: its holder acts on the kit's gate each 50 ms. The first three vote.
+    #[serde(default)]
+    pub lease_ms: Option<u64>,
 }
 
 /// A change of routes.
@@ -534,6 +539,11 @@
     "fleet_behind",
     "fleet_past_bound",
     "fleet_fenced",
+    "duty_acts",
+    "duty_holds",
+    "duty_refused",
+    "duty_out_of_order",
+    "duty_pause_s",
 ];
 
 /// Reads a scenario by its shipped name or its file.
@@ -766,6 +776,13 @@
         if self.fleet.as_ref().is_some_and(|f| !(100..=60_000).contains(&f.period_ms)) {
             return Err("fleet.period_ms: is not between 100 and 60000".into());
         }
+        let duty = self.fleet.as_ref().and_then(|f| f.lease_ms);
+        if duty.is_some_and(|ms| !(200..=60_000).contains(&ms)) {
+            return Err("fleet.lease_ms: is not between 200 and 60000".into());
+        }
+        if duty.is_some() && self.run.proxies < 3 {
+            return Err("fleet.lease_ms: needs three proxies, who vote".into());
+        }
         if self.routes.is_none() && !self.change.is_empty() {
             return Err("change[0]: there are no `routes` to change".into());
         }
--- a/crates/heathroad-rehearsal/src/stage.rs
+++ b/crates/heathroad-rehearsal/src/stage.rs
@@ -8,6 +8,7 @@
 use crate::plan::{Plan, Planned, quotas};
 use crate::scenario::{Effect, Group, What};
 use crate::stand_in::backend::{Backend, Mode, World, doors, memories};
+use crate::stand_in::gate::{self, Gate};
 use crate::stand_in::machine::{Machine, Make};
 use crate::stand_in::memory::Memory;
 use crate::stand_in::network::Network;
@@ -40,6 +41,10 @@
 const STOP: Duration = Duration::from_secs(6);
 /// Work that nobody waits for any more gets so long to end by itself after the load.
 const SETTLE: Duration = Duration::from_millis(500);
+/// The gate looks at tokens, and one act in fifty comes late, by up to two seconds.
+const GATE: gate::Options = gate::Options { checks: true, late: 0.02, by: Duration::from_secs(2), seed: 1 };
+/// A duty's holder acts so often.
+const ACTS: Duration = Duration::from_millis(50);
 /// The fleet's audit is asked for so long after the load.
 const AUDIT: Duration = Duration::from_secs(10);
 /// Daemons started side by side.
@@ -81,6 +86,8 @@
     pub changes: Vec<(ProxyNo, String)>,
     /// The fleet's audit at the end, asked of its first proxy, where there is a fleet.
     pub audit: Option<Value>,
+    /// What the duty's holders did, where there is one.
+    pub duty: Option<Vec<gate::Act>>,
     /// Generations that were required, and from when on.
     pub bounds: Vec<(u64, Micros)>,
     /// How late the driver began first tries.
@@ -148,6 +155,7 @@
     samples: RefCell<Vec<Sample>>,
     changes: RefCell<Vec<(ProxyNo, String)>>,
     network: Option<Network>,
+    gate: Option<Gate>,
     audit: RefCell<Option<Value>>,
     bounds: RefCell<Vec<(u64, Micros)>>,
     stage_late: RefCell<Histogram<u64>>,
@@ -184,7 +192,11 @@
     let plan = setting.plan.clone();
     let clock = Clock::starting_in(Duration::ZERO);
     let world = World::new(clock, plan.clone());
-    let stage = Rc::new(Stage::build(setting, world, folder)?);
+    let gate = match plan.scenario.fleet.as_ref().and_then(|f| f.lease_ms) {
+        Some(_) => Some(Gate::open(clock, GATE).await.map_err(|e| format!("gate: {e}"))?),
+        None => None,
+    };
+    let stage = Rc::new(Stage::build(setting, world, folder, gate)?);
     stage.start_backends().await?;
     stage.start_proxies().await?;
     let plan = Arc::new(plan.starting_at(clock.now() + WARM_UP.as_micros() as Micros));
@@ -193,7 +205,12 @@
 }
 
 impl Stage {
-    fn build(setting: Setting, world: Rc<World>, folder: PathBuf) -> Result<Stage, String> {
+    fn build(
+        setting: Setting,
+        world: Rc<World>,
+        folder: PathBuf,
+        gate: Option<Gate>,
+    ) -> Result<Stage, String> {
         let scenario = &setting.plan.scenario;
         let mut slots = Vec::new();
         let mut slot = |name: String, tier, owner, copy: usize, copies| {
@@ -217,7 +234,9 @@
         let between = match &scenario.fleet {
             None => None,
             Some(fleet) => {
-                daemon::fleet_files(&folder, fleet.period_ms, fleet.fence_unsure_after_ms, "")
+                let duty = gate.as_ref().zip(fleet.lease_ms).map(|(gate, lease)| gate.duty(lease, ACTS));
+                let duties = duty.unwrap_or_default();
+                daemon::fleet_files(&folder, fleet.period_ms, fleet.fence_unsure_after_ms, &duties)
                     .map_err(|e| format!("{}: {e}", folder.display()))?;
                 let network = Network::begin(network(), scenario.run.proxies, setting.plan.seed, world.clock);
                 Some(network.map_err(|e| format!("network: {e}"))?)
@@ -236,6 +255,7 @@
             samples: RefCell::default(),
             changes: RefCell::default(),
             network: between,
+            gate,
             audit: RefCell::default(),
             bounds: RefCell::default(),
             stage_late: RefCell::new(stage_late),
@@ -885,6 +905,7 @@
             samples: self.samples.take(),
             changes: self.changes.take(),
             audit: self.audit.take(),
+            duty: self.gate.as_ref().map(Gate::acts),
             bounds: self.bounds.take(),
             driver_late: driven.lateness,
             stage_late: self.stage_late.borrow().clone(),
--- a/crates/heathroad-rehearsal/src/stand_in/gate.rs
+++ b/crates/heathroad-rehearsal/src/stand_in/gate.rs
@@ -79,6 +79,16 @@
         Ok(Gate { address, acts, answers, serving })
     }
 
+    /// What the fleet's file says of a duty `tick` that acts here, the first three places being its voters.
+    pub fn duty(&self, lease_ms: u64, every: Duration) -> String {
+        format!(
+            "[duties]\nvoters = [0, 1, 2]\nlease_ms = {lease_ms}\n[[duty]]\nname = \"tick\"\nwork = \"call\"\n\
+             address = \"{}\"\nevery_ms = {}\n",
+            self.address,
+            every.as_millis()
+        )
+    }
+
     /// What came so far.
     pub fn acts(&self) -> Vec<Act> {
         self.acts.lock().map(|a| a.clone()).unwrap_or_default()
@@ -147,6 +157,23 @@
     wrong
 }
 
+/// A figure of what was done.
+pub fn figure(acts: &[Act], name: &str) -> Option<f64> {
+    let taken: Vec<&Act> = acts.iter().filter(|a| a.taken).collect();
+    let figure = match name {
+        "duty_acts" => taken.len() as f64,
+        "duty_holds" => taken.iter().map(|a| a.token).collect::<std::collections::BTreeSet<_>>().len() as f64,
+        "duty_refused" => (acts.len() - taken.len()) as f64,
+        "duty_out_of_order" => judge(acts).len() as f64,
+        "duty_pause_s" => {
+            let pauses = taken.windows(2).map(|w| w[1].at.saturating_sub(w[0].at));
+            pauses.max().unwrap_or(0) as f64 / 1e6
+        }
+        _ => return None,
+    };
+    Some(figure)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/heathroad-rehearsal/tests/plans.rs
+++ b/crates/heathroad-rehearsal/tests/plans.rs
@@ -149,11 +149,7 @@
     let by = Duration::from_millis(LEASE_MS * 2);
     let options = gate::Options { checks, late: 0.05, by, seed };
     let gate = Gate::open(Clock::starting_in(Duration::ZERO), options).await.map_err(|e| e.to_string())?;
-    let duties = format!(
-        "[duties]\nvoters = [0, 1, 2]\nlease_ms = {LEASE_MS}\n[[duty]]\nname = \"tick\"\nwork = \"call\"\naddress = \"{}\"\n\
-         every_ms = 10\n",
-        gate.address
-    );
+    let duties = gate.duty(LEASE_MS, Duration::from_millis(10));
     let options = Options { period_ms: PERIOD_MS, duties, ..Options::default() };
     let fleet = Fleet::begin(&daemon(), proxies, seed, options).await?;
     let n = usize::from(proxies);
