--- a/crates/heathroad-rehearsal/src/fleet.rs
+++ b/crates/heathroad-rehearsal/src/fleet.rs
@@ -40,6 +40,8 @@
     pub fence_unsure_after_ms: Option<u64>,
     /// What the fleet's file says of duties.
     pub duties: String,
+    /// A change is watched for so long, in milliseconds; 200 where nothing is said.
+    pub probation_ms: Option<u64>,
 }
 
 /// An attempt that came to the backend.
@@ -177,7 +179,7 @@
             "limits": {"cores": 1.0, "memory_mb": 32, "sockets": SOCKETS},
             "peer_listen": self.network.listens(proxy).to_string(), "peers": peers,
             "fleet": path("fleet.toml"), "state": self.state(proxy).display().to_string(),
-            "routes": routes, "probation_ms": 200,
+            "routes": routes, "probation_ms": self.options.probation_ms.unwrap_or(200),
             "known": {"seq": 1, "whole": true, "hosts": [{"host": "b", "dial": self.backend.to_string(), "site": "a",
                 "class": "", "block": 0, "health": "SERVING", "share": 1.0, "born_ms": 0}]},
             "settings": {
--- a/crates/heathroad-rehearsal/tests/stragglers.rs
+++ b/crates/heathroad-rehearsal/tests/stragglers.rs
@@ -4,8 +4,11 @@
 
 use common::{daemon, routes};
 use heathroad_rehearsal::fleet::{Fleet, Options};
+use heathroad_rehearsal::http::{self, Buffer};
 use serde_json::Value;
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use tokio::time::sleep;
 
 const PERIOD_MS: u64 = 300;
@@ -99,6 +102,70 @@
     assert_eq!(generation(&fleet.ask(1, "/config/status").await.expect("told")), 1);
 }
 
+/// A change does harm wherever there are requests, and none where it was proposed: one keeps it, the others undo it on probation and stay on
+/// what they had; the audit says of each what it did and why.
+#[tokio::test]
+async fn a_change_that_most_undo_and_one_keeps() {
+    let (routes, probation_ms) = (Some(routes(1)), Some(3000));
+    let options = Options { routes, period_ms: PERIOD_MS, probation_ms, ..Options::default() };
+    let mut fleet = Fleet::begin(&daemon(), 3, 15, options).await.expect("it starts");
+    fleet.until_all_there().await.expect("all know all");
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let harmful = common::routes(2).replace("BACKEND", &listener.local_addr().expect("bound").to_string());
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut buffer = Buffer::default();
+                while buffer.request(&mut stream).await.is_ok() {
+                    if stream.write_all(&http::answer(500, "", "")).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    let admin = fleet.daemon(0).expect("it runs").admin;
+    for n in 0..100 {
+        if n == 60 {
+            let told = heathroad_rehearsal::daemon::post(admin, "/config/apply", &harmful).await;
+            assert_eq!(told.expect("an answer").0, 200);
+        }
+        for proxy in 1..3 {
+            assert_eq!(fleet.call(proxy).await, Ok(200));
+        }
+    }
+    let end = tokio::time::Instant::now() + Duration::from_secs(60);
+    let audit = loop {
+        for proxy in [1, 2].repeat(30) {
+            let _ = fleet.call(proxy).await;
+        }
+        let audit = fleet.ask(0, "/fleet/audit").await.expect("told");
+        let down = |p: usize| audit["members"][p]["turned_down"].as_array().is_some_and(|t| !t.is_empty());
+        if down(1) && down(2) {
+            break audit;
+        }
+        assert!(tokio::time::Instant::now() < end, "{audit}");
+    };
+    let generations: Vec<u64> = (0..3)
+        .map(|p| audit["members"][p]["pages"].as_array().and_then(|p| p.last()).expect("a page"))
+        .map(|page| page["version"]["generation"].as_u64().expect("a number"))
+        .collect();
+    assert_eq!(generations[0], 2, "{audit}");
+    for proxy in 1..3 {
+        let why = audit["members"][proxy]["turned_down"][0]["why"].as_str().unwrap_or_default();
+        assert!(why.contains("undone") && why.contains("pool all"), "{why}");
+        let undone: u64 = audit["members"][proxy]["pages"]
+            .as_array()
+            .into_iter()
+            .flatten()
+            .filter_map(|p| p["acts"]["undone"].as_u64())
+            .sum();
+        assert_eq!(undone, 1, "{audit}");
+        assert_ne!(generations[proxy], 2);
+        assert_eq!(fleet.call(proxy as u16).await, Ok(200));
+    }
+}
+
 /// Two changes under one number on both sides of a cut: neither is spread once they meet, and the conflict has a name.
 #[tokio::test]
 async fn two_changes_under_one_number() {
