--- a/crates/heathroad-rehearsal/tests/stragglers.rs
+++ b/crates/heathroad-rehearsal/tests/stragglers.rs
@@ -100,6 +100,11 @@
         assert!(down["why"].as_str().is_some_and(|w| w.contains("listener remote")), "{down}");
     }
     assert_eq!(generation(&fleet.ask(1, "/config/status").await.expect("told")), 1);
+    // Numbers are the fleet's: a change made where the second one was not taken is the third.
+    fleet.apply(1, &routes(3)).await.expect("it is taken");
+    for proxy in 0..3 {
+        until_at(&fleet, proxy, 3).await;
+    }
 }
 
 /// A change does harm wherever there are requests, and none where it was proposed: one keeps it, the others undo it on probation and stay on
