Duties: memories are written in order, also at the stop; two readers of nothing are gone

Need: read once more, the stop carried out what the core wanted beside the task that does so, and two writes of a voter's memory could have changed places on disk. One at a time now. A seat without a further count goes away for a while in place of looking again and again; two functions that nobody called are gone. Tests of the core and the five with processes pass.

--- a/crates/heathroad-duty/src/seat.rs
+++ b/crates/heathroad-duty/src/seat.rs
@@ -198,11 +198,6 @@
         }
     }
 
-    /// The highest token that is known.
-    pub fn highest(&self) -> Token {
-        self.highest
-    }
-
     /// Why it was refused last, where it seeks it.
     pub fn refused(&self) -> Option<Why> {
         self.why
@@ -346,8 +341,7 @@
     fn seek(&mut self, now: Millis, with: &mut With<'_>) {
         let Some(token) = self.highest.above(with.clock, with.electorate.generation(), with.own) else {
             // Counts are used up, or a later electorate votes: nothing can be asked for.
-            self.next = now + with.terms.barred();
-            return;
+            return self.away(now + with.terms.barred());
         };
         self.phase = Phase::Asking(Asking {
             token,
--- a/crates/heathroad-duty/src/token.rs
+++ b/crates/heathroad-duty/src/token.rs
@@ -55,11 +55,6 @@
         let here = [self.count(), self.count() + 1].map(|count| Token::new(generation, count, place));
         here.into_iter().find(|token| *token > self)
     }
-
-    /// As one number, of which a higher one is a later grant.
-    pub fn number(self) -> u64 {
-        self.0
-    }
 }
 
 impl fmt::Display for Token {
--- a/crates/heathroad/src/duty/mod.rs
+++ b/crates/heathroad/src/duty/mod.rs
@@ -31,7 +31,7 @@
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Mutex, Notify, watch};
 use tokio::task::{JoinHandle, spawn_blocking};
 use tokio::time::Instant;
 use work::Hold;
@@ -87,6 +87,7 @@
     stands: RefCell<BTreeMap<DutyId, Vec<Stand>>>,
     collection: Rc<Collection>,
     stopping: Cell<bool>,
+    carrying: Mutex<()>,
     /// The last write has failed, and that was said.
     failing: Cell<bool>,
     me: Weak<Duties>,
@@ -123,6 +124,7 @@
             stands: RefCell::default(),
             collection,
             stopping: Cell::new(false),
+            carrying: Mutex::default(),
             failing: Cell::new(false),
             me: me.clone(),
         });
@@ -183,6 +185,8 @@
 
     /// Carries out, in order, what the core wants done: what must be on disk is there before what is behind it goes.
     async fn carry_out(&self) {
+        // One at a time: an older memory must not be written behind a newer one.
+        let _turn = self.carrying.lock().await;
         loop {
             let outputs: Vec<Output> = self.core.borrow_mut().outputs().collect();
             if outputs.is_empty() {
