Attempts end with their callers unless all bytes are out; ends behind bytes are seen

Need: a request whose client left while it waited is not sent on 0.3 s later; unsafe never has two attempts out. Seen: by reading, then by a test where one is named. (1) engine: without cancelling, nothing ended an attempt that waits for a place or a connect; it was sent once the connect was there. (2) backend: an attempt counted as written when it was handed over, before a byte was out; on a dead kept connection with a slow second connect it was let work on after its report and could send beside the next. (3) front: hyper looks for the caller's end only while nothing lies behind the request. (4) an answer to a request that is not whole was passed on while the rest of the body was still written. (5) a connection asked to leave in the turn in which its request was read dropped that request; the stop reset who was in the accept queue and closed on requests that lay unread. Change: how far an attempt is rests on the bytes alone (Course); at its request's end what is not whole ends as Moot and its connection with it, in every setting; a dropped Link closes at once; callers' bytes are read ahead, bounded and counted, so that the end behind them is seen; the stop empties the accept queue and serves what lies there. JSON-RPC: a text half written for nobody is cut where no other call shares the connection; a reset is seen also while nothing is read. A backend of an unknown zone is withdrawn.

--- a/crates/heathroad/src/backend/http.rs
+++ b/crates/heathroad/src/backend/http.rs
@@ -3,7 +3,7 @@
 use super::{End, Idle, Line, MAX_BODY, Pool, RETIRE, Target};
 use crate::budget::Purse;
 use crate::effort::{spawn_local, timeout};
-use crate::stream::{Outgoing, Progress, Watched};
+use crate::stream::{Course, Outgoing, Progress, Watched, Written};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -16,6 +16,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 use turnshift::api::Outcome;
@@ -60,7 +62,8 @@
     pub body: Bytes,
 }
 
-/// A connection that carries one request at a time.
+/// A connection that carries one request at a time. Dropped, it is closed at once, whatever is still to be written to it: the
+/// HTTP library by itself would first write a request to its end for which nobody waits any more.
 pub(super) struct Link {
     pub(super) sender: SendRequest<Outgoing>,
     progress: Rc<Progress>,
@@ -69,6 +72,12 @@
     task: AbortHandle,
 }
 
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
 impl Pool {
     /// The most recently used of those still open: the others may then grow old and be closed.
     fn reuse(&self, target: &Target) -> Option<Link> {
@@ -92,6 +101,10 @@
 
     pub(super) async fn connect(&self, dial: SocketAddr) -> Result<Link, Outcome> {
         let (stream, place) = self.dial(dial).await?;
+        Pool::link(stream, place).await
+    }
+
+    pub(super) async fn link(stream: TcpStream, place: OwnedSemaphorePermit) -> Result<Link, Outcome> {
         let watched = Watched::new(TokioIo::new(stream));
         let progress = watched.progress();
         let mut builder = Builder::new();
@@ -110,7 +123,7 @@
     }
 }
 
-/// Sends the request and reads its answer; `line` is told when it was handed to a connection.
+/// Sends the request and reads its answer; `line` is told which connection it was handed to.
 pub(super) async fn exchange(
     pool: &Rc<Pool>,
     call: &Call,
@@ -119,6 +132,12 @@
     line: &Line,
     purse: Option<&Purse>,
 ) -> End {
+    // What failed, or came back, before the request's last byte was out never ran: the connection ends here, and no backend
+    // gets the rest. No backend made an answer for what it has not whole.
+    let unless_whole = |link: &Link, outcome| match link.progress.written() {
+        Written::Whole => End::Unserved(outcome),
+        Written::Nothing | Written::Part => End::Unserved(Outcome::ConnectFailed),
+    };
     let (mut link, answer) = loop {
         let (mut link, kept) = match pool.reuse(target) {
             Some(link) => (link, true),
@@ -133,24 +152,30 @@
             return End::Unserved(Outcome::Moot);
         }
         let request = call.request(&link.progress, not_past, purse);
-        line.written();
+        line.goes_over(link.progress.clone());
         match link.sender.send_request(request).await {
             Ok(answer) => break (link, answer),
             // A kept connection that turned out to be closed, or to hold bytes that are no answer to this: not a
             // byte of the request was written, so that it goes over another one.
-            Err(_) if kept && !link.progress.begun() => {}
+            Err(_) if kept && link.progress.written() == Written::Nothing => {}
             // Only the connection knows whether the backend can have the whole request.
-            Err(_) if link.progress.whole() => return End::Unserved(Outcome::Reset),
-            Err(_) => return End::Unserved(Outcome::ConnectFailed),
+            Err(_) => return unless_whole(&link, Outcome::Reset),
         }
     };
+    if link.progress.written() != Written::Whole {
+        let (status, declined) = (answer.status(), answer.headers().get(&DECLINED).is_some_and(|v| v == "1"));
+        return match unserved(status, declined) {
+            // It was turned down by its head.
+            end @ (End::Rejected | End::Unserved(Outcome::Full)) => end,
+            _ => unless_whole(&link, Outcome::Reset),
+        };
+    }
     let sound = match read(answer, purse).await {
         Some(end) => settle(&mut link, end).await,
         None => None,
     };
     let Some((end, clean)) = sound else {
         // Spoilt: the request may have run, and what is on this connection is of no use.
-        link.task.abort();
         return End::Unserved(Outcome::Reset);
     };
     if clean {
@@ -225,6 +250,13 @@
     let whole = if bytes.is_empty() { first } else { bytes.freeze() };
     Some(match head.status {
         StatusCode::OK => End::Served(whole),
+        status => unserved(status, declined),
+    })
+}
+
+/// What an answer means that is none to pass on.
+fn unserved(status: StatusCode, declined: bool) -> End {
+    match status {
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if declined => {
             End::Unserved(Outcome::Full)
         }
@@ -234,7 +266,7 @@
         }
         status if status.is_client_error() => End::Rejected,
         _ => End::Unserved(Outcome::Error),
-    })
+    }
 }
 
 impl Call {
--- a/crates/heathroad/src/backend/mod.rs
+++ b/crates/heathroad/src/backend/mod.rs
@@ -1,11 +1,14 @@
 //! The backends' side: a pool of kept connections, and attempts with what each ending means. `http` and `rpc` know how
 //! a call goes over a connection.
 
+#[cfg(test)]
+mod crossings;
 pub mod http;
 pub mod rpc;
 
 use crate::budget::Purse;
 use crate::effort::{sleep, sleep_until, timeout};
+use crate::stream::{Course, Written};
 use bytes::Bytes;
 use http::Link;
 use rustc_hash::FxHashMap;
@@ -297,11 +300,23 @@
     matches!(e.raw_os_error(), Some(ENFILE | EMFILE))
 }
 
+/// How far an attempt was called off.
+#[derive(Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Off {
+    #[default]
+    No,
+    /// Nobody waits for it: nothing of it is sent that is not sent yet.
+    Forsaken,
+    /// It ends, however far it is.
+    Withdrawn,
+}
+
 /// What an attempt shares with who sent it.
 #[derive(Default)]
 pub struct Line {
-    written: Cell<bool>,
-    withdrawn: Cell<bool>,
+    /// Tells how far it was written, once it was handed to a connection.
+    course: RefCell<Option<Rc<dyn Course>>>,
+    off: Cell<Off>,
     reported: Cell<bool>,
     waker: Cell<Option<Waker>>,
 }
@@ -309,7 +324,17 @@
 impl Line {
     /// Withdraws the attempt; one that has ended needs no withdrawal.
     pub fn withdraw(&self) {
-        self.withdrawn.set(true);
+        self.call_off(Off::Withdrawn);
+    }
+
+    /// Its request is over. An attempt that is not written whole by now never ran, and ends here; one that is goes on, or is
+    /// withdrawn, as the settings will have it.
+    pub fn forsake(&self) {
+        self.call_off(Off::Forsaken);
+    }
+
+    fn call_off(&self, off: Off) {
+        self.off.set(self.off.get().max(off));
         if let Some(waker) = self.waker.take() {
             waker.wake();
         }
@@ -325,20 +350,13 @@
         self.reported.get()
     }
 
-    /// The request was handed to a connection.
-    fn written(&self) {
-        self.written.set(true);
+    /// The request was handed to a connection; how far it is written is told by the bytes that go out there.
+    fn goes_over(&self, course: Rc<dyn Course>) {
+        self.course.replace(Some(course));
     }
 
-    async fn withdrawn(&self) {
-        poll_fn(|cx| {
-            if self.withdrawn.get() {
-                return Poll::Ready(());
-            }
-            keep(&self.waker, cx);
-            Poll::Pending
-        })
-        .await;
+    fn written(&self) -> Written {
+        self.course.borrow().as_ref().map_or(Written::Nothing, |c| c.written())
     }
 }
 
@@ -369,17 +387,39 @@
     /// has come after all, or the connection is closed, `late` tells of it, once.
     pub async fn run(self, pool: Rc<Pool>, report: impl FnOnce(End), late: impl FnOnce(End)) {
         let Attempt { call, target, not_past, line, purse } = self;
-        let mut exchange = pin!(exchange(&pool, &call, &target, not_past, &line, purse.as_deref()));
+        let exchange = exchange(&pool, &call, &target, not_past, &line, purse.as_deref());
+        let mut exchange = pin!(Some(exchange));
         let report = |end| {
             line.report();
             report(end);
         };
-        let given_up = tokio::select! {
-            biased;
-            end = &mut exchange => return report(end),
-            () = sleep_until(not_past) => Outcome::Timeout,
-            () = line.withdrawn() => Outcome::Cancelled,
+        let mut time = pin!(sleep_until(not_past));
+        let ended = poll_fn(|cx| {
+            // Before each step: what has no byte out when nobody waits any more sends none, whatever else has just come
+            // (a connect, a place), and what has not its last one out sends that no more.
+            let (whole, off) = (line.written() == Written::Whole, line.off.get());
+            let late = time.as_mut().poll(cx).is_ready();
+            if !whole && (late || off != Off::No) {
+                return Poll::Ready(Err(if late { Outcome::Timeout } else { Outcome::Cancelled }));
+            }
+            if let Some(Poll::Ready(end)) = exchange.as_mut().as_pin_mut().map(|e| e.poll(cx)) {
+                return Poll::Ready(Ok(end));
+            }
+            if late || off == Off::Withdrawn {
+                return Poll::Ready(Err(if late { Outcome::Timeout } else { Outcome::Cancelled }));
+            }
+            keep(&line.waker, cx);
+            Poll::Pending
+        });
+        let given_up = match ended.await {
+            Ok(end) => return report(end),
+            Err(given_up) => given_up,
         };
+        if line.written() != Written::Whole {
+            // Its connection, if it has one, ends with it: no backend ever has the whole of it.
+            exchange.set(None);
+            return report(End::Unserved(Outcome::Moot));
+        }
         report(End::Unserved(given_up));
         let unseen = End::Unserved(given_up);
         // Its server is told by the close, and what it has not sent on yet is dropped: the work ends here and now.
@@ -387,16 +427,21 @@
             return late(unseen);
         }
         let place = Place::take(&pool.draining, pool.draining_most);
-        late(if line.written.get() && pool.limits.may_duplicate && place.is_some() {
-            // Whether it came or not, nobody waits for the answer itself.
-            tokio::select! {
-                end = exchange => end,
-                () = sleep(DRAIN) => unseen,
-                () = pool.give_way.notified() => unseen,
-            }
-        } else {
-            unseen
-        });
+        late(
+            if let Some(exchange) = exchange.as_pin_mut()
+                && pool.limits.may_duplicate
+                && place.is_some()
+            {
+                // Whether it came or not, nobody waits for the answer itself.
+                tokio::select! {
+                    end = exchange => end,
+                    () = sleep(DRAIN) => unseen,
+                    () = pool.give_way.notified() => unseen,
+                }
+            } else {
+                unseen
+            },
+        );
     }
 }
 
--- a/crates/heathroad/src/backend/rpc.rs
+++ b/crates/heathroad/src/backend/rpc.rs
@@ -4,6 +4,7 @@
 use super::{End, Line, Pool, Target};
 use crate::budget::Purse;
 use crate::effort::{self, spawn_local, timeout};
+use crate::stream::Written;
 use bytes::{Buf, Bytes, BytesMut};
 use heathroad_jsonrpc::message::{self, INTERNAL_ERROR, METHOD_NOT_FOUND, Reply};
 use heathroad_jsonrpc::{Answer, Decoder, Framing, Limits, write};
@@ -65,14 +66,6 @@
     pub way: Way,
 }
 
-/// How far a call's text was written.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Written {
-    Nothing,
-    Part,
-    Whole,
-}
-
 /// How a call on a connection ended.
 enum Ended {
     Answered(Answer),
@@ -86,7 +79,7 @@
 
 struct Pending {
     tell: oneshot::Sender<Ended>,
-    written: Written,
+    written: Rc<Cell<Written>>,
     not_past: Instant,
     notification: bool,
 }
@@ -111,6 +104,8 @@
     /// How often the backend has asked something.
     asked: usize,
     closing: bool,
+    /// What is begun to be written is not written on.
+    cut: bool,
     ended: bool,
 }
 
@@ -127,6 +122,7 @@
 struct Waiting {
     link: Rc<Link>,
     id: u64,
+    written: Rc<Cell<Written>>,
     end: oneshot::Receiver<Ended>,
 }
 
@@ -135,10 +131,12 @@
         let s = &mut *self.link.state.borrow_mut();
         let Some(pending) = s.pending.remove(&self.id) else { return };
         self.link.since.set(Instant::now());
-        if pending.written == Written::Nothing {
+        if pending.written.get() == Written::Nothing {
             s.queue.retain(|f| f.id != self.id);
             return;
         }
+        // A text that nobody waits for is not written to its end. The calls beside it are somebody's: for them it is.
+        s.cut |= pending.written.get() == Written::Part && s.pending.is_empty();
         // Its answer may come yet, or the connection be of no use: it carries what it has, and nothing new.
         s.abandoned.insert(self.id);
         s.closing = true;
@@ -183,9 +181,10 @@
             write::carry(&mut text, &budget, path);
         }
         s.queue.push_back(Frame::new(id, call.way.framing, &text));
-        s.pending.insert(id, Pending { tell, written: Written::Nothing, not_past, notification });
+        let written = Rc::<Cell<Written>>::default();
+        s.pending.insert(id, Pending { tell, written: written.clone(), not_past, notification });
         self.wake.notify_one();
-        Waiting { link: self.clone(), id, end }
+        Waiting { link: self.clone(), id, written, end }
     }
 
     /// What is to be written next; where nothing is begun, the next that may be.
@@ -208,8 +207,8 @@
         frame.left.advance(bytes);
         let whole = frame.left.len() <= frame.spare;
         let (id, done) = (frame.id, frame.left.is_empty());
-        if let Some(pending) = s.pending.get_mut(&id) {
-            pending.written = if whole { Written::Whole } else { Written::Part };
+        if let Some(pending) = s.pending.get(&id) {
+            pending.written.set(if whole { Written::Whole } else { Written::Part });
         }
         if whole && s.pending.get(&id).is_some_and(|p| p.notification) {
             self.over(s, id, Ended::Sent);
@@ -235,7 +234,7 @@
                 let id = std::str::from_utf8(&answer.id).ok().and_then(|id| id.parse().ok());
                 let Some(id) = id else { return false };
                 // To what was not sent whole nobody can have an answer.
-                if s.pending.get(&id).is_some_and(|p| p.written == Written::Whole && !p.notification) {
+                if s.pending.get(&id).is_some_and(|p| p.written.get() == Written::Whole && !p.notification) {
                     self.over(s, id, Ended::Answered(answer));
                     return true;
                 }
@@ -263,7 +262,7 @@
     /// Whether its last call is over and no new one comes.
     fn done(&self) -> bool {
         let s = self.state.borrow();
-        s.closing && s.pending.is_empty()
+        s.cut || s.closing && s.pending.is_empty()
     }
 
     fn end(&self) {
@@ -272,7 +271,7 @@
         s.queue.clear();
         for (_, pending) in s.pending.drain() {
             // Who waits may just have left.
-            let _ = pending.tell.send(Ended::Gone(pending.written));
+            let _ = pending.tell.send(Ended::Gone(pending.written.get()));
         }
     }
 }
@@ -381,7 +380,7 @@
     }
 }
 
-/// Sends a call and waits for its answer; `line` is told when it was handed to a connection.
+/// Sends a call and waits for its answer; `line` is told which connection it was handed to.
 pub(super) async fn exchange(
     pool: &Rc<Pool>,
     call: &Call,
@@ -402,7 +401,7 @@
             return End::Unserved(Outcome::Moot);
         }
         let mut waiting = link.ask(call, not_past, purse);
-        line.written();
+        line.goes_over(waiting.written.clone());
         return match (&mut waiting.end).await {
             Ok(Ended::Answered(answer)) => {
                 if let Some(purse) = purse {
--- a/crates/heathroad/src/discovery/roster.rs
+++ b/crates/heathroad/src/discovery/roster.rs
@@ -58,7 +58,8 @@
         let (mut good, mut bad, mut example) = (Vec::new(), 0, String::new());
         for value in self.hosts {
             match Host::deserialize(&value) {
-                Ok(host) if host.health == Health::Deleted || host.dial.is_some() => good.push(host),
+                // What takes nothing new needs no address.
+                Ok(host) if host.health != Health::Serving || host.dial.is_some() => good.push(host),
                 Ok(host) => (bad, example) = (bad + 1, format!("{}: no address", host.host)),
                 Err(e) => (bad, example) = (bad + 1, format!("{value}: {e}")),
             }
--- a/crates/heathroad/src/engine/mod.rs
+++ b/crates/heathroad/src/engine/mod.rs
@@ -164,13 +164,20 @@
 impl Open {
     /// Gives the answer if one is still owed.
     fn answer(&mut self, answer: Answer) {
-        if let Life::Owed(wait) = std::mem::replace(&mut self.life, Life::Over) {
+        if let Some(wait) = self.end() {
             // What was tried here and did not help is of no use to try again from above.
             let failed = !matches!(answer, Answer::Served(_)) && !self.attempts.is_empty();
             let spent = self.budget.as_ref().and_then(|b| b.spent(failed));
             wait.tell((answer, spent));
         }
     }
+    /// Nothing is owed any more, and nothing is sent for it that is not sent yet, whatever the settings say of calling
+    /// attempts off; the one who waits, if somebody did.
+    fn end(&mut self) -> Option<Rc<Wait<Told>>> {
+        let Life::Owed(wait) = std::mem::replace(&mut self.life, Life::Over) else { return None };
+        self.attempts.iter().filter_map(|(_, out)| out.as_ref()).for_each(|out| out.line.forsake());
+        Some(wait)
+    }
     fn done(&self) -> bool {
         matches!(self.life, Life::Over) && self.attempts.iter().all(|(_, out)| out.is_none())
     }
@@ -452,11 +459,13 @@
         let (backend, known) = s.known(&h.host);
         known.listed = h.health != Health::Deleted;
         let Some(zone) = self.facts.site.zones.iter().position(|z| *z == h.site) else {
-            if h.health == Health::Deleted {
-                return Some(Entry { backend, phase: Phase::Gone, ..Entry::default() });
+            // A copy can't send there, so that it takes nothing new from here, wherever it was before.
+            known.listed = false;
+            known.withdraw(&self.pool, &self.counts, Notice::Gone);
+            if h.health == Health::Serving {
+                tracing::warn!("discovery: {}: zone {:?} is unknown, passed over", h.host, h.site);
             }
-            tracing::warn!("discovery: {}: zone {:?} is unknown, passed over", h.host, h.site);
-            return None;
+            return Some(Entry { backend, phase: Phase::Gone, ..Entry::default() });
         };
         let phase = match h.health {
             Health::Serving => Phase::Ready,
@@ -694,8 +703,7 @@
         let left = {
             let s = &mut *self.engine.state.borrow_mut();
             let open = s.requests.get_mut(&self.request);
-            let owed = open.filter(|r| matches!(r.life, Life::Owed(_)));
-            let left = owed.map(|r| r.life = Life::Over).is_some();
+            let left = open.and_then(Open::end).is_some();
             s.forget(self.request);
             left
         };
--- a/crates/heathroad/src/front/http.rs
+++ b/crates/heathroad/src/front/http.rs
@@ -1,6 +1,7 @@
 //! Requests over HTTP: takes them, checks them, and writes each one's answer.
 
 use super::room::{ARRIVE, Held, Room, SPARE, Seat, Seated, Stage, Taken};
+use super::wire::{Half, Wire};
 use crate::backend::http::{self, DEADLINE, ID, KEY};
 use crate::backend::{Call, MAX_BODY};
 use crate::budget::{self, Books, SPENT};
@@ -8,7 +9,7 @@
 use crate::engine::{self, Answer, Incoming, away};
 use crate::fleet::acts;
 use crate::router::{Ask, Bound, Router};
-use crate::stream::Watched;
+use crate::stream::{Peek, Watched};
 use bytes::{Bytes, BytesMut};
 use heathroad_budget::path::Mark;
 use heathroad_routing::split::hash;
@@ -20,14 +21,16 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use hyper_util::rt::TokioIo;
+use std::cell::Cell;
 use std::convert::Infallible;
+use std::future::{Future, poll_fn};
 use std::pin::pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::task::JoinSet;
+use tokio::task::{JoinSet, yield_now};
 use tokio::time::{Instant, interval};
 use turnshift::api::Effect;
 use turnshift::settings::Facts;
@@ -36,6 +39,8 @@
 const SWEEP: Duration = Duration::from_millis(250);
 /// Pause when nothing can be accepted.
 const STARVED: Duration = Duration::from_millis(10);
+/// When it stops, a connection that has just come and sent nothing yet is given so long for its first request.
+const FIRST: Duration = Duration::from_millis(250);
 /// Share of the places that callers may fill with requests who have not been served on their connection yet: a
 /// burst of requests that are worth nothing must leave room for the others.
 const NEWCOMERS: f64 = 0.75;
@@ -50,6 +55,8 @@
 
 /// Names the tenant.
 static OWNER: HeaderName = HeaderName::from_static("req-owner");
+/// Nothing more is read behind this answer.
+const CLOSE: HeaderValue = HeaderValue::from_static("close");
 
 type Reply = Response<Full<Bytes>>;
 
@@ -88,16 +95,9 @@
                 Some(_) = open.join_next() => {}
                 _ = sweep.tick() => self.room.sweep(),
                 accepted = listener.accept(), if !full => match accepted {
-                    Ok((stream, _)) => {
-                        let crowded = present() >= self.connections && !self.room.shed();
-                        // Its place counts from now on. Those behind it are taken at once, as far as a task's turn goes: a
-                        // turn of all that are served for each would leave new callers waiting for seconds.
-                        let watched = Watched::new(TokioIo::new(stream));
-                        let seated = Seated::new(&self.room, watched.progress());
-                        let connection =
-                            self.clone().connection(watched, seated, closing.clone(), crowded);
-                        spawn_in(&mut open, connection);
-                    }
+                    // Its place counts from now on. Those behind it are taken at once, as far as a task's turn goes: a
+                    // turn of all that are served for each would leave new callers waiting for seconds.
+                    Ok((stream, _)) => spawn_in(&mut open, self.clone().seat(stream, closing.clone())),
                     // No error ends the loop, out of descriptors or other: callers are waiting, and what is
                     // short comes free again.
                     Err(_) => {
@@ -107,6 +107,15 @@
                 }
             }
         }
+        // Whoever has come by now is in the system's queue, and would be reset with it. (The reactor has to look first.)
+        yield_now().await;
+        while present() < self.connections + SPARE {
+            let Poll::Ready(Ok((stream, _))) = poll_fn(|cx| Poll::Ready(listener.poll_accept(cx))).await
+            else {
+                break;
+            };
+            spawn_in(&mut open, self.clone().seat(stream, closing.clone()));
+        }
         drop(listener);
         loop {
             tokio::select! {
@@ -116,24 +125,39 @@
         }
     }
 
+    /// A new caller's place, which counts at once, and what becomes of it.
+    fn seat(self: Rc<Self>, stream: TcpStream, stop: watch::Receiver<bool>) -> impl Future<Output = ()> {
+        let crowded = self.room.present() >= self.connections && !self.room.shed();
+        let wire = Wire::new(stream, &self.room);
+        let watched = Watched::new(wire.half());
+        let seated = Seated::new(&self.room, watched.progress());
+        self.connection(wire, watched, seated, stop, crowded)
+    }
+
     async fn connection(
         self: Rc<Self>,
-        watched: Watched<TokioIo<TcpStream>>,
+        wire: Rc<Wire>,
+        watched: Watched<Half>,
         seated: Seated,
         mut stop: watch::Receiver<bool>,
         crowded: bool,
     ) {
-        let stream = watched.stream().inner();
-        let inner = match (&self.books, stream.peer_addr()) {
+        let inner = match (&self.books, wire.with(TcpStream::peer_addr)) {
             (Some(books), Ok(peer)) => books.inner(peer.ip()),
             _ => false,
         };
         let seat = &*seated.seat;
-        if stream.set_nodelay(true).is_err() {
+        if wire.with(|stream| stream.set_nodelay(true)).is_err() {
             return;
         }
+        // Its next answer is its last.
+        let last = Cell::new(crowded);
         let service = service_fn(async |request| {
-            let reply = self.answer(request, seat, crowded, inner).await;
+            let mut reply = self.answer(request, seat, crowded, inner).await;
+            // With a further request behind it the connection stays for that one.
+            if last.get() && (crowded || !wire.unread()) {
+                reply.iter_mut().for_each(|r| drop(r.headers_mut().insert(CONNECTION, CLOSE)));
+            }
             seat.stage.set(Stage::Rest);
             seat.progress.listen();
             seat.since.set(Instant::now());
@@ -145,16 +169,36 @@
             .max_buf_size(MAX_HEAD)
             .serve_connection(watched, service);
         let mut connection = pin!(connection);
-        tokio::select! {
-            // However it ends, the caller is gone and its request, if any, was told so.
-            _ = connection.as_mut() => return,
-            () = seat.leave.notified() => return,
-            _ = stop.wait_for(|stop| *stop) => {}
+        let mut gone = pin!(wire.gone(|| seat.stage.get() == Stage::Taken, self.bodies));
+        loop {
+            tokio::select! {
+                biased;
+                // However it ends, the caller is gone and its request, if any, was told so.
+                _ = connection.as_mut() => return,
+                () = gone.as_mut() => return,
+                () = seat.leave.notified() => if seat.leaves() { return },
+                _ = stop.wait_for(|stop| *stop) => break,
+            }
         }
-        connection.as_mut().graceful_shutdown();
-        tokio::select! {
-            _ = connection => {}
-            () = seat.leave.notified() => {}
+        // What was taken is answered, and so is what lies here to be read; then the connection closes.
+        last.set(true);
+        let mut first = pin!(sleep(FIRST));
+        loop {
+            let ended = poll_fn(|cx| {
+                let waited = seat.answered.get() || first.as_mut().poll(cx).is_ready();
+                if connection.as_mut().poll(cx).is_ready() || gone.as_mut().poll(cx).is_ready() {
+                    return Poll::Ready(());
+                }
+                if waited && seat.rests() && !wire.unread() {
+                    connection.as_mut().graceful_shutdown();
+                    return connection.as_mut().poll(cx).map(drop);
+                }
+                Poll::Pending
+            });
+            tokio::select! {
+                () = ended => return,
+                () = seat.leave.notified() => if seat.leaves() { return },
+            }
         }
     }
 
@@ -173,7 +217,7 @@
             return Ok(plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }));
         }
         seat.stage.set(Stage::Body);
-        let mut reply = match self.read(request, seat, received, inner).await {
+        let reply = match self.read(request, seat, received, inner).await {
             Err(reply) => {
                 self.router.meter().unusable(reply.status().as_u16());
                 *reply
@@ -194,9 +238,6 @@
                 reply
             }
         };
-        if crowded {
-            reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-        }
         Ok(reply)
     }
 
@@ -365,7 +406,7 @@
 /// An answer to what can't be used, after which nothing more is read.
 fn closing(status: StatusCode) -> Reply {
     let mut reply = plain(status);
-    reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    reply.headers_mut().insert(CONNECTION, CLOSE);
     reply
 }
 
--- a/crates/heathroad/src/front/room.rs
+++ b/crates/heathroad/src/front/room.rs
@@ -62,6 +62,15 @@
         self.leaving.set(true);
         self.leave.notify_one();
     }
+    /// It was asked to leave: whether it still can. Since it was asked a request may have come, which is owed an answer.
+    pub fn leaves(&self) -> bool {
+        self.leaving.set(false);
+        self.spare()
+    }
+    /// Whether it has nothing in work, half read or half written.
+    pub fn rests(&self) -> bool {
+        self.stage.get() == Stage::Rest && self.progress.speaks().is_none() && !self.progress.unsent()
+    }
 }
 
 /// What callers hold of the proxy.
@@ -168,6 +177,13 @@
         }
         all <= most
     }
+
+    /// Gives all back but so many.
+    pub fn shrink(&mut self, to: usize) {
+        let less = self.bytes.saturating_sub(to);
+        self.room.bytes.set(self.room.bytes.get() - less);
+        self.bytes -= less;
+    }
 }
 
 impl Drop for Stock {
--- a/crates/heathroad/src/front/rpc.rs
+++ b/crates/heathroad/src/front/rpc.rs
@@ -358,21 +358,13 @@
     }
 }
 
-/// Reads on. One that has ended its side shows by a reset alone that it has left.
-async fn listen(
-    reader: &mut ReadHalf<'_>,
-    decoder: &mut Decoder,
-    reading: bool,
-    ended: bool,
-) -> std::io::Result<usize> {
-    match (reading, ended) {
-        (true, _) => reader.read_buf(decoder.buffer()).await.inspect(|_| effort::read()),
-        (_, true) => {
-            reader.ready(Interest::ERROR).await?;
-            Err(std::io::ErrorKind::ConnectionReset.into())
-        }
-        _ => std::future::pending().await,
+/// Reads on. One that has ended its side, or is not read from now, shows by a reset alone that it has left.
+async fn listen(reader: &mut ReadHalf<'_>, decoder: &mut Decoder, reading: bool) -> std::io::Result<usize> {
+    if reading {
+        return reader.read_buf(decoder.buffer()).await.inspect(|_| effort::read());
     }
+    reader.ready(Interest::ERROR).await?;
+    Err(std::io::ErrorKind::ConnectionReset.into())
 }
 
 /// Ends a connection behind its last answer. What lies unread would turn the close into a reset, which may overtake it.
@@ -492,7 +484,7 @@
                     }
                     moved = Instant::now();
                 }
-                read = listen(&mut reader, &mut decoder, reading, ended) => match read {
+                read = listen(&mut reader, &mut decoder, reading) => match read {
                     // It may have ended its side only, and wait for what it asked.
                     Ok(0) => {
                         ended = true;
--- /dev/null
+++ b/crates/heathroad/src/front/wire.rs
@@ -0,0 +1,142 @@
+//! A caller's connection. The HTTP library reads requests from it, and while one is in work looks for the caller's end only as
+//! long as nothing lies behind that request; here what lies there is read ahead, so that the end behind it is seen too.
+
+use super::room::{Room, Stock};
+use crate::effort;
+use crate::stream::Peek;
+use bytes::{Buf, BytesMut};
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::rt::TokioIo;
+use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tokio::net::TcpStream;
+
+/// Most that is read ahead on a connection: callers send one request at a time, and what is more waits in the system.
+const AHEAD: usize = 80 * 1024;
+/// So much is read at a time.
+const PIECE: usize = 4 * 1024;
+
+/// A connection that two look at, both in its one task.
+pub struct Wire {
+    io: RefCell<TokioIo<TcpStream>>,
+    ahead: RefCell<BytesMut>,
+    stock: RefCell<Stock>,
+    ended: Cell<bool>,
+}
+
+impl Wire {
+    /// Of a connection that was taken.
+    pub fn new(stream: TcpStream, room: &Rc<Room>) -> Rc<Wire> {
+        let (io, stock) = (RefCell::new(TokioIo::new(stream)), RefCell::new(Stock::new(room)));
+        Rc::new(Wire { io, ahead: RefCell::default(), stock, ended: Cell::new(false) })
+    }
+
+    /// Waits for the caller's end while `taken` says that a request of its is in work; `most` bytes are held for all callers.
+    /// It has to be looked at again, by the same task, whenever `taken` may have changed.
+    pub async fn gone(&self, taken: impl Fn() -> bool, most: usize) {
+        poll_fn(|cx| {
+            while taken() && !self.ended.get() {
+                let io = self.io.borrow();
+                let ahead = &mut *self.ahead.borrow_mut();
+                // Past its bound a caller's end is not seen before the answer to it.
+                if ahead.len() >= AHEAD || !self.stock.borrow_mut().grow(PIECE, most) {
+                    return Poll::Pending;
+                }
+                if io.inner().poll_read_ready(cx).is_pending() {
+                    self.settle(ahead.len());
+                    return Poll::Pending;
+                }
+                ahead.reserve(PIECE);
+                match io.inner().try_read_buf(&mut bytes::BufMut::limit(&mut *ahead, PIECE)) {
+                    Ok(1..) => effort::read(),
+                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                    Ok(0) | Err(_) => self.ended.set(true),
+                }
+                self.settle(ahead.len());
+            }
+            if self.ended.get() { Poll::Ready(()) } else { Poll::Pending }
+        })
+        .await;
+    }
+
+    /// Only what is held counts.
+    fn settle(&self, held: usize) {
+        self.stock.borrow_mut().shrink(held);
+    }
+
+    /// The end that the HTTP library has.
+    pub fn half(self: &Rc<Self>) -> Half {
+        Half(self.clone())
+    }
+
+    /// What the connection is asked for beside reads and writes.
+    pub fn with<T>(&self, ask: impl FnOnce(&TcpStream) -> T) -> T {
+        ask(self.io.borrow().inner())
+    }
+}
+
+impl Peek for Wire {
+    fn unread(&self) -> bool {
+        !self.ahead.borrow().is_empty() || self.io.borrow().unread()
+    }
+}
+
+/// A connection as the HTTP library has it.
+pub struct Half(Rc<Wire>);
+
+impl Peek for Half {
+    fn unread(&self) -> bool {
+        self.0.unread()
+    }
+}
+
+impl Read for Half {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let ahead = &mut *self.0.ahead.borrow_mut();
+        if !ahead.is_empty() {
+            let most = ahead.len().min(buf.remaining());
+            buf.put_slice(&ahead[..most]);
+            ahead.advance(most);
+            if ahead.is_empty() {
+                *ahead = BytesMut::new();
+            }
+            self.0.settle(ahead.len());
+            return Poll::Ready(Ok(()));
+        }
+        Pin::new(&mut *self.0.io.borrow_mut()).poll_read(cx, buf)
+    }
+}
+
+impl Write for Half {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut *self.0.io.borrow_mut()).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut *self.0.io.borrow_mut()).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.io.borrow().is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.io.borrow_mut()).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.io.borrow_mut()).poll_shutdown(cx)
+    }
+}
--- a/crates/heathroad/tests/rig/mod.rs
+++ b/crates/heathroad/tests/rig/mod.rs
@@ -484,11 +484,16 @@
         proxy
     }
 
-    /// Sends a signal and waits until the program's log says so.
-    async fn signal(&mut self, signal: &str, says: &str) {
+    /// Sends a signal.
+    pub async fn send_signal(&mut self, signal: &str) {
         let id = self.child.id().expect("it runs").to_string();
         let sent = soon(Command::new("kill").args([signal, &id]).status()).await;
         assert!(sent.expect("kill runs").success());
+    }
+
+    /// Sends a signal and waits until the program's log says so.
+    async fn signal(&mut self, signal: &str, says: &str) {
+        self.send_signal(signal).await;
         while !soon(self.log.next_line()).await.expect("readable").expect("it goes on").contains(says) {}
     }
 
