The stop and second answers: queue emptied, connections rest where they come

Need: callers in the accept queue, requests that lie whole in a kept connection and a seat asked to leave as its request arrives must be answered; a late second answer must not be taken for the next request's. Seen: the accept queue was closed over who had come (the reactor knows only what it was told; the system is asked now); the most recently used connection, likeliest to get a late second answer, was taken first. Change: at the stop the queue is emptied by the system's own accept; of connections at rest the most recently used that has rested 50 ms is taken, else the one used longest ago, and for 60 s after a backend spoke out of its turn none that has not rested (weighed: a rest always would cost quick services a connection a request; waiting costs them the time; answers bear no id, so that the first one in a minute can still cross).

--- a/crates/heathroad/src/backend/crossings.rs
+++ b/crates/heathroad/src/backend/crossings.rs
@@ -156,7 +156,7 @@
                 let target = pool.target("a", dial, 0.0);
                 let (stream, place) = pool.dial(dial).await.expect("it listens");
                 SockRef::from(&stream).set_send_buffer_size(4096).expect("a size");
-                pool.keep(&target, Pool::link(stream, place).await.expect("nothing is sent yet"));
+                pool.keep(&target, pool.link(stream, place).await.expect("nothing is sent yet"));
                 let (mut backend, _) = soon(listener.accept()).await.expect("it came");
                 let attempt = run(&pool, &target, call(BODY));
                 let mut seen = [0; 64];
@@ -184,7 +184,7 @@
                 let target = pool.target("a", dial, 0.0);
                 let (stream, place) = pool.dial(dial).await.expect("it listens");
                 SockRef::from(&stream).set_send_buffer_size(4096).expect("a size");
-                pool.keep(&target, Pool::link(stream, place).await.expect("nothing is sent yet"));
+                pool.keep(&target, pool.link(stream, place).await.expect("nothing is sent yet"));
                 let (mut backend, _) = soon(listener.accept()).await.expect("it came");
                 let attempt = run(&pool, &target, call(MAX_BODY));
                 assert_ne!(soon(backend.read(&mut [0; 64])).await.expect("open"), 0);
@@ -197,3 +197,71 @@
             .await;
     }
 }
+
+/// A second answer comes late, on a connection at rest. From then on no request goes over a connection on which one may be on
+/// its way still: it would be taken for that request's.
+#[tokio::test]
+async fn a_connection_rests_where_second_answers_come() {
+    let listener = small_listener(16).await;
+    let dial = listener.local_addr().expect("bound");
+    let pool = pool(4, true);
+    let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood";
+    LocalSet::new()
+        .run_until(async {
+            let target = pool.target("a", dial, 0.0);
+            let served = async |stream: &mut TcpStream, attempt: Run| {
+                assert_ne!(soon(stream.read(&mut [0; 1024])).await.expect("open"), 0);
+                stream.write_all(answer).await.expect("open");
+                assert_eq!(soon(attempt.ended).await, Ok(Outcome::Ok));
+            };
+            let attempt = run(&pool, &target, call(0));
+            let (mut first, _) = soon(listener.accept()).await.expect("it came");
+            served(&mut first, attempt).await;
+            // Nobody has done so yet: a connection is used again at once.
+            let attempt = run(&pool, &target, call(0));
+            served(&mut first, attempt).await;
+            first.write_all(answer).await.expect("open");
+            assert_eq!(soon(first.read(&mut [0; 64])).await.unwrap_or(0), 0, "it is of no further use");
+            let attempt = run(&pool, &target, call(0));
+            let (mut second, _) = soon(listener.accept()).await.expect("it came");
+            served(&mut second, attempt).await;
+            let attempt = run(&pool, &target, call(0));
+            let mut bytes = [0; 64];
+            let accepted = tokio::select! {
+                accepted = soon(listener.accept()) => accepted,
+                _ = second.read(&mut bytes) => panic!("the next request went over it at once"),
+            };
+            served(&mut accepted.expect("it came").0, attempt).await;
+        })
+        .await;
+}
+
+/// The same over JSON-RPC, where nobody else has a call on the connection.
+#[tokio::test]
+async fn a_text_that_is_called_off_half_way_is_not_written_on() {
+    // More than the system takes for a node that reads nothing.
+    const TEXT: usize = 16 << 20;
+    for off in [Line::forsake, Line::withdraw] {
+        let listener = small_listener(16).await;
+        let dial = listener.local_addr().expect("bound");
+        let pool = pool(4, true);
+        LocalSet::new()
+            .run_until(async {
+                let target = pool.target("a", dial, 0.0);
+                let framing = heathroad_jsonrpc::Framing::Lines;
+                let way = rpc::Way { port: None, framing, calls: 1, declined: None, budget: false };
+                let params = Some(Bytes::from(format!("[\"{}\"]", "x".repeat(TEXT))));
+                let method = Bytes::from_static(b"\"once\"");
+                let call = Rc::new(Call::Rpc(rpc::Call { method, params, notification: false, way }));
+                let attempt = run(&pool, &target, call);
+                let (mut node, _) = soon(listener.accept()).await.expect("it came");
+                assert_ne!(soon(node.read(&mut [0; 64])).await.expect("open"), 0);
+                off(&attempt.line);
+                assert_eq!(soon(attempt.ended).await, Ok(Outcome::Moot));
+                let mut rest = Vec::new();
+                let _ = soon(node.read_to_end(&mut rest)).await;
+                assert!(rest.len() < TEXT, "it got all of it");
+            })
+            .await;
+    }
+}
--- a/crates/heathroad/src/backend/http.rs
+++ b/crates/heathroad/src/backend/http.rs
@@ -12,7 +12,9 @@
 use hyper::{Method, Request, Response, StatusCode, Uri, header};
 use hyper_util::rt::TokioIo;
 use std::cell::RefCell;
+use std::error::Error;
 use std::future::poll_fn;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,6 +28,10 @@
 const PAUSE: Duration = Duration::from_millis(500);
 /// Once its answer is read a connection is free in no time, unless the request itself is still being written.
 const SETTLE: Duration = Duration::from_millis(50);
+/// A late second answer comes so long behind the first: a connection that has rested for longer holds none that is not seen.
+const REST: Duration = Duration::from_millis(50);
+/// Once a backend has spoken out of its turn, for so long no connection carries a request before it has rested.
+const WARY: Duration = Duration::from_secs(60);
 /// Longest answer head, and most lines in it; the buffer for heads and bodies grows to this size.
 const MAX_HEAD: usize = 16 * 1024;
 const MAX_HEADERS: usize = 64;
@@ -79,17 +85,18 @@
 }
 
 impl Pool {
-    /// The most recently used of those still open: the others may then grow old and be closed.
+    /// The most recently used of those still open that have rested: the others may then grow old and be closed. The most
+    /// recently used of all is the likeliest to get a late second answer to the request before; where none has rested, the one
+    /// that was used longest ago is taken, or none while such answers come.
     fn reuse(&self, target: &Target) -> Option<Link> {
-        let age = self.limits.idle.mul_f64(RETIRE);
+        let (age, now) = (self.limits.idle.mul_f64(RETIRE), Instant::now());
+        let wary = self.wary.get().is_some_and(|since| now - since < WARY);
         let mut idle = self.idle.borrow_mut();
         let links = idle.get_mut(&target.number)?;
-        while let Some(Idle { link, since }) = links.pop() {
-            if link.sender.is_ready() && since.elapsed() < age {
-                return Some(link);
-            }
-        }
-        None
+        links.retain(|i| i.link.sender.is_ready() && now - i.since < age);
+        let rested = links.iter().rposition(|i| now - i.since >= REST);
+        let at = rested.or((!wary && !links.is_empty()).then_some(0))?;
+        Some(links.remove(at).link)
     }
 
     pub(super) fn keep(&self, target: &Target, link: Link) {
@@ -101,10 +108,10 @@
 
     pub(super) async fn connect(&self, dial: SocketAddr) -> Result<Link, Outcome> {
         let (stream, place) = self.dial(dial).await?;
-        Pool::link(stream, place).await
+        self.link(stream, place).await
     }
 
-    pub(super) async fn link(stream: TcpStream, place: OwnedSemaphorePermit) -> Result<Link, Outcome> {
+    pub(super) async fn link(&self, stream: TcpStream, place: OwnedSemaphorePermit) -> Result<Link, Outcome> {
         let watched = Watched::new(TokioIo::new(stream));
         let progress = watched.progress();
         let mut builder = Builder::new();
@@ -112,17 +119,27 @@
         let handshake = builder.handshake(watched).await;
         let (sender, mut connection) = handshake.map_err(|_| Outcome::ConnectFailed)?;
         let leftover = Rc::<RefCell<Bytes>>::default();
-        let left = leftover.clone();
+        let (left, wary) = (leftover.clone(), self.wary.clone());
         let task = spawn_local(async move {
             let _place = place;
             // Its end shows at the sender, where it has a meaning.
-            let _ = poll_fn(|cx| connection.poll_without_shutdown(cx)).await;
-            left.replace(connection.into_parts().read_buf);
+            let end = poll_fn(|cx| connection.poll_without_shutdown(cx)).await;
+            let rest = connection.into_parts().read_buf;
+            if !rest.is_empty() || end.is_err_and(|e| unclean(&e)) {
+                wary.set(Some(Instant::now()));
+            }
+            left.replace(rest);
         });
         Ok(Link { sender, progress, leftover, task: task.abort_handle() })
     }
 }
 
+/// Whether a connection ended since something lay on it before a request was written.
+fn unclean(e: &hyper::Error) -> bool {
+    let cause = e.source().and_then(|e| e.downcast_ref::<io::Error>());
+    cause.is_some_and(|e| e.kind() == io::ErrorKind::InvalidData)
+}
+
 /// Sends the request and reads its answer; `line` is told which connection it was handed to.
 pub(super) async fn exchange(
     pool: &Rc<Pool>,
--- a/crates/heathroad/src/backend/mod.rs
+++ b/crates/heathroad/src/backend/mod.rs
@@ -124,6 +124,8 @@
     draining: Rc<Cell<usize>>,
     /// Most overtaken attempts whose answers are awaited.
     draining_most: usize,
+    /// When a backend last spoke out of its turn.
+    wary: Rc<Cell<Option<Instant>>>,
     /// Tells one of the overtaken attempts that its place is needed.
     give_way: Notify,
 }
@@ -157,9 +159,9 @@
         let places = Arc::new(Semaphore::new(limits.connections));
         let (targets, known) = (Cell::default(), RefCell::default());
         let (idle, rpc) = (RefCell::default(), RefCell::default());
-        let (draining, give_way) = (Rc::default(), Notify::new());
+        let (draining, wary, give_way) = (Rc::default(), Rc::default(), Notify::new());
         let draining_most = limits.connections / DRAIN_SHARE;
-        Pool { limits, targets, known, idle, rpc, places, draining, draining_most, give_way }
+        Pool { limits, targets, known, idle, rpc, places, draining, draining_most, wary, give_way }
     }
 
     /// A process to send to. One that is in use and takes work is the same for all who name it.
--- /dev/null
+++ b/crates/heathroad/src/front/crossings.rs
@@ -0,0 +1,169 @@
+//! A stop, or a request to leave, that crosses what callers send. The order of a turn is what matters: what callers do is done
+//! by the system at once, with no turn of the loop between it and the stop.
+
+use super::http::Front;
+use super::room::Room;
+use crate::backend::{Limits, Pool};
+use crate::counts::{Counts, Meter};
+use crate::engine::Engine;
+use crate::engine::tests::facts;
+use crate::router::Router;
+use std::future::poll_fn;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::task::Poll;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, LocalSet, spawn_blocking, spawn_local, yield_now};
+use tokio::time::timeout;
+
+const LONG: Duration = Duration::from_secs(20);
+
+struct Scene {
+    addr: SocketAddr,
+    room: Rc<Room>,
+    engine: Rc<Engine>,
+    stop: watch::Sender<bool>,
+    serving: JoinHandle<()>,
+}
+
+/// A front with no backends: whatever it takes is refused in the end.
+async fn scene() -> Scene {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("bound");
+    let limits = Limits { connections: 4, connect: LONG, idle: LONG, drain_grace: LONG, may_duplicate: true };
+    let room = Rc::<Room>::default();
+    let counts = Counts::new(&Rc::new(Meter::new()), "", &facts().site);
+    let (watching, _) = watch::channel(false);
+    let engine = Engine::new(facts(), 1, Rc::new(Pool::new(limits)), counts, None, watching);
+    let engine = engine.expect("good settings");
+    let router = Rc::new(Router::One(engine.clone()));
+    let (connections, bodies) = (100, 1 << 20);
+    let front = Front { router, facts: facts(), connections, bodies, room: room.clone(), books: None };
+    let (stop, stopped) = watch::channel(false);
+    let serving = spawn_local(Rc::new(front).serve(listener, stopped));
+    Scene { addr, room, engine, stop, serving }
+}
+
+fn request(id: usize) -> String {
+    format!("GET /look HTTP/1.1\r\nHost: o\r\nReq-Id: {id}\r\nReq-Deadline-Ms: 60000\r\n\r\n")
+}
+
+fn connect(addr: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(addr).expect("the system takes it");
+    stream.set_read_timeout(Some(LONG)).expect("a socket");
+    stream
+}
+
+/// What comes until the connection ends, read beside the loop.
+async fn rest(mut stream: TcpStream) -> String {
+    let read = spawn_blocking(move || {
+        let mut bytes = Vec::new();
+        // A reset ends it as well.
+        let _ = stream.read_to_end(&mut bytes);
+        String::from_utf8(bytes).expect("text")
+    });
+    timeout(LONG, read).await.expect("it ends").expect("no panic")
+}
+
+/// An answer to each of so many requests, in whatever pieces.
+fn answers(text: &str) -> usize {
+    text.matches("HTTP/1.1 503").count()
+}
+
+/// The next answer, which has no body, or nothing where the connection was closed.
+async fn next(mut stream: TcpStream) -> (TcpStream, usize) {
+    let read = spawn_blocking(move || {
+        let (mut bytes, mut one) = (Vec::new(), [0]);
+        while !bytes.ends_with(b"\r\n\r\n") && stream.read_exact(&mut one).is_ok() {
+            bytes.push(one[0]);
+        }
+        (stream, answers(&String::from_utf8(bytes).expect("text")))
+    });
+    timeout(LONG, read).await.expect("it comes").expect("no panic")
+}
+
+/// One call on a connection that is kept.
+async fn served_once(addr: SocketAddr, id: usize) -> TcpStream {
+    let mut stream = connect(addr);
+    stream.write_all(request(id).as_bytes()).expect("open");
+    let (stream, answers) = next(stream).await;
+    assert_eq!(answers, 1);
+    stream
+}
+
+/// Callers in the accept queue when the listener closes, with and without their request: they are taken and answered.
+#[tokio::test]
+async fn who_is_in_the_queue_at_the_stop_is_answered() {
+    LocalSet::new()
+        .run_until(async {
+            let s = scene().await;
+            yield_now().await;
+            let mut callers: Vec<_> = (0..20).map(|_| connect(s.addr)).collect();
+            for (id, caller) in callers.iter_mut().enumerate().filter(|(id, _)| id % 2 == 0) {
+                caller.write_all(request(id).as_bytes()).expect("open");
+            }
+            s.stop.send_replace(true);
+            // The others send a moment later.
+            while s.room.present() < callers.len() {
+                assert!(!s.serving.is_finished(), "it closed on them");
+                yield_now().await;
+            }
+            for (id, caller) in callers.iter_mut().enumerate().filter(|(id, _)| id % 2 == 1) {
+                caller.write_all(request(id).as_bytes()).expect("open");
+            }
+            for caller in callers {
+                let text = rest(caller).await;
+                assert_eq!(answers(&text), 1, "{text:?}");
+                assert!(text.to_lowercase().contains("connection: close"), "{text:?}");
+            }
+            timeout(LONG, s.serving).await.expect("it ends").expect("no panic");
+        })
+        .await;
+}
+
+/// A request lies whole in a kept connection when the stop comes to close it.
+#[tokio::test]
+async fn what_lies_in_a_kept_connection_at_the_stop_is_answered() {
+    LocalSet::new()
+        .run_until(async {
+            let s = scene().await;
+            let mut busy = served_once(s.addr, 1).await;
+            let idle = served_once(s.addr, 2).await;
+            busy.write_all(request(3).as_bytes()).expect("open");
+            s.stop.send_replace(true);
+            assert_eq!(answers(&rest(busy).await), 1);
+            assert_eq!(rest(idle).await, "", "one at rest is closed");
+            timeout(LONG, s.serving).await.expect("it ends").expect("no panic");
+        })
+        .await;
+}
+
+/// A connection is asked to leave in the turn in which its request arrives: what was taken is answered, and is not dropped.
+#[tokio::test]
+async fn who_is_asked_to_leave_as_its_request_comes_is_answered() {
+    LocalSet::new()
+        .run_until(async {
+            let s = scene().await;
+            let mut answered = 0;
+            for round in 0..20 {
+                let mut caller = served_once(s.addr, 2 * round).await;
+                caller.write_all(request(2 * round + 1).as_bytes()).expect("open");
+                // The reactor looks, and the connection's task has its turn behind this one's.
+                let mut looked = false;
+                poll_fn(
+                    |_| if std::mem::replace(&mut looked, true) { Poll::Ready(()) } else { Poll::Pending },
+                )
+                .await;
+                s.room.shed();
+                answered += next(caller).await.1;
+                let counts = s.engine.counts().meter().text(&[], [0, 0]);
+                assert!(!counts.contains("\"left\""), "round {round}: it was taken and dropped");
+            }
+            assert_ne!(answered, 0, "each was closed unread");
+            s.serving.abort();
+        })
+        .await;
+}
--- a/crates/heathroad/src/front/http.rs
+++ b/crates/heathroad/src/front/http.rs
@@ -30,7 +30,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::task::{JoinSet, yield_now};
+use tokio::task::JoinSet;
 use tokio::time::{Instant, interval};
 use turnshift::api::Effect;
 use turnshift::settings::Facts;
@@ -107,16 +107,16 @@
                 }
             }
         }
-        // Whoever has come by now is in the system's queue, and would be reset with it. (The reactor has to look first.)
-        yield_now().await;
-        while present() < self.connections + SPARE {
-            let Poll::Ready(Ok((stream, _))) = poll_fn(|cx| Poll::Ready(listener.poll_accept(cx))).await
-            else {
-                break;
-            };
-            spawn_in(&mut open, self.clone().seat(stream, closing.clone()));
+        // Whoever has come by now is in the system's queue, and would be reset with it. The system is asked, since the reactor
+        // knows only what it was told when it last looked.
+        if let Ok(queue) = listener.into_std() {
+            while present() < self.connections + SPARE
+                && let Ok((stream, _)) = queue.accept()
+            {
+                let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+                stream.into_iter().for_each(|s| spawn_in(&mut open, self.clone().seat(s, closing.clone())));
+            }
         }
-        drop(listener);
         loop {
             tokio::select! {
                 ended = open.join_next() => if ended.is_none() { return },
