Crossings: tests of held requests, times that end in a connect, bodies that trickle

Duties resign within the stop's half second and not before it. The first form of the trickling stand-in answered before it had read and was wrong, not the daemon.

--- a/crates/heathroad/src/discovery/mod.rs
+++ b/crates/heathroad/src/discovery/mod.rs
@@ -242,6 +242,19 @@
         asked
     }
 
+    /// What a silent watch misses counts as told 6 s after it fell silent, at its very beginning at worst, or 2 s after its wait
+    /// is over. Where calls cost nothing that is kept with a whole round of calls that hang, where they cost with one.
+    #[test]
+    fn silence_is_noticed_in_time() {
+        let told = |m: Manner| Duration::from_secs(6).max(m.wait + Duration::from_secs(2));
+        let round = |m: Manner, late: Duration| late + m.stagger * (m.calls as u32 - 1);
+        let again =
+            PUSHED.wait + round(PUSHED, PUSHED.silence) + PUSHED.backoff[1] + round(PUSHED, PUSHED.whole);
+        assert!(again < told(PUSHED), "{again:?}");
+        let once = ASKED.wait + round(ASKED, ASKED.silence);
+        assert!(once + ASKED.backoff[0] < told(ASKED), "{once:?}");
+    }
+
     #[tokio::test]
     async fn an_old_state_behind_a_newer_one_is_passed_over() {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
--- a/crates/heathroad/src/lib.rs
+++ b/crates/heathroad/src/lib.rs
@@ -265,10 +265,14 @@
         many.handle(Event::Stop);
     }
     engines.iter().for_each(|e| e.end_by(Instant::now() + LAST));
-    if let Some(duties) = &duties {
-        duties.stop().await;
-    }
-    sleep(LINGER).await;
+    // Whatever duties have to write first takes nothing of the time in which callers are answered.
+    let resign = async {
+        if let Some(duties) = &duties {
+            // What it could not write is missed by nobody: who holds what was decided by the voters.
+            let _ = timeout(LINGER, duties.stop()).await;
+        }
+    };
+    tokio::join!(sleep(LINGER), resign);
     stop.send_replace(true);
     // All is answered by `LAST`; a caller that does not take its answer must not keep the program.
     let ended = timeout(LAST, async {
--- a/crates/heathroad/tests/crossings.rs
+++ b/crates/heathroad/tests/crossings.rs
@@ -82,17 +82,27 @@
     let _ = soon(caller.read_to_end(&mut Vec::new())).await;
 }
 
-/// The attempt of a caller that leaves has no connection yet: whatever the settings say of calling attempts off, it must not
-/// go out once the connection is there.
-async fn leaves_during_a_connect(caps: Value, line: &str) {
+/// An attempt has no connection yet when its request ends, by its caller's leaving or by its time: whatever the settings say of
+/// calling attempts off, it must not go out once the connection is there.
+async fn ends_during_a_connect(caps: Value, line: &str, leaves: bool) {
     let (listener, held) = silent().await;
     let addr = listener.local_addr().expect("bound");
     let discovery = Discovery::start(vec![rig::line("a", addr, "SERVING")]).await;
     let proxy = Proxy::settled(&discovery, with_caps(caps)).await;
     let mut caller = TcpStream::connect(proxy.addr).await.expect("it listens");
-    caller.write_all(raw_request(line, "left", "").as_bytes()).await.expect("open");
+    let mut call = raw_request(line, "over", "");
+    if !leaves {
+        call = call.replace("60000", "400");
+    }
+    caller.write_all(call.as_bytes()).await.expect("open");
     soon(connecting(addr)).await;
-    leave(caller).await;
+    if leaves {
+        leave(caller).await;
+    } else {
+        let mut answer = [0; 12];
+        soon(caller.read_exact(&mut answer)).await.expect("an answer");
+        assert_eq!(&answer, b"HTTP/1.1 503", "it never ran, whatever its class");
+    }
     drop(held);
     let seen = bare(listener);
     // The queue has room again: one who is still there is served.
@@ -108,21 +118,74 @@
         }
     })
     .await;
-    assert!(!seen.borrow().ids.iter().any(|id| id == "left"), "it was sent on: {:?}", seen.borrow().ids);
+    assert!(!seen.borrow().ids.iter().any(|id| id == "over"), "it was sent on: {:?}", seen.borrow().ids);
 }
 
 #[tokio::test]
 async fn who_leaves_during_a_connect_is_not_sent_on() {
     let slow = 20_000.0;
-    leaves_during_a_connect(json!({"cancelling": false, "connectTimeout": slow}), "GET /look").await;
-    leaves_during_a_connect(
-        json!({"cancelling": false, "mayDuplicate": false, "connectTimeout": slow}),
-        "GET /look",
-    )
-    .await;
-    leaves_during_a_connect(json!({"cancelling": true, "connectTimeout": slow}), "GET /look").await;
-    let once = "POST /once";
-    leaves_during_a_connect(json!({"cancelling": false, "connectTimeout": slow}), once).await;
+    let caps = json!({"cancelling": false, "connectTimeout": slow});
+    ends_during_a_connect(caps.clone(), "GET /look", true).await;
+    ends_during_a_connect(caps, "POST /once", true).await;
+    let caps = json!({"cancelling": false, "mayDuplicate": false, "connectTimeout": slow});
+    ends_during_a_connect(caps, "GET /look", true).await;
+    ends_during_a_connect(json!({"cancelling": true, "connectTimeout": slow}), "GET /look", true).await;
+}
+
+#[tokio::test]
+async fn whose_time_ends_during_a_connect_is_not_sent_on() {
+    for line in ["GET /look", "POST /once"] {
+        let caps = json!({"cancelling": false, "connectTimeout": 20_000.0});
+        ends_during_a_connect(caps, line, false).await;
+    }
+}
+
+/// A caller leaves while its request is held for want of a backend: before its first attempt, or between two.
+#[tokio::test]
+async fn who_leaves_while_held_is_not_sent_on() {
+    for tried in [false, true] {
+        let orders = Arc::new(Orders::default());
+        let (a, b) = (Backend::start("a", &orders).await, Backend::start("b", &orders).await);
+        let discovery = Discovery::start(if tried { vec![a.line("SERVING")] } else { vec![] }).await;
+        let proxy = Proxy::settled(&discovery, with_caps(json!({"cancelling": false}))).await;
+        orders.give([Do::Decline(503)].into_iter().take(usize::from(tried)));
+        let mut caller = TcpStream::connect(proxy.addr).await.expect("it listens");
+        caller.write_all(raw_request("POST /once", "left", "").as_bytes()).await.expect("open");
+        orders.came(usize::from(tried)).await;
+        leave(caller).await;
+        discovery.tell(vec![b.line("SERVING")]).await;
+        assert_eq!(proxy.call("once").await, (200, "b".into()));
+        assert_eq!(orders.seen.borrow().len(), 1 + usize::from(tried), "what was held was sent on");
+    }
+}
+
+/// An answer that trickles for ever is one that does not come: its request ends in time.
+#[tokio::test]
+async fn a_body_that_trickles_is_given_up_in_time() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("bound");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut text = b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n".to_vec();
+                if !stream.read(&mut [0; 1024]).await.is_ok_and(|n| n > 0) {
+                    return;
+                }
+                while stream.write_all(&text).await.is_ok() {
+                    text = b"x".to_vec();
+                    tokio::time::sleep(Duration::from_millis(100)).await;
+                }
+            });
+        }
+    });
+    let discovery = Discovery::start(vec![line("a", addr, "SERVING")]).await;
+    let proxy = Proxy::settled(&discovery, settings()).await;
+    let mut caller = TcpStream::connect(proxy.addr).await.expect("it listens");
+    let call = raw_request("POST /once", "trickle", "").replace("60000", "900");
+    caller.write_all(call.as_bytes()).await.expect("open");
+    let mut answer = [0; 12];
+    soon(caller.read_exact(&mut answer)).await.expect("an answer");
+    assert!(answer.starts_with(b"HTTP/1.1 50") && !answer.ends_with(b"503"), "it may have run");
 }
 
 /// A caller leaves, however it does, while its request is in work and more lies behind it: its attempt is called off.
