A connection asked to leave as its request arrives: the test now forces the order

Need: the test passed without the mend; its requests were answered in the turn they came, so that none was in work. Change: a silent backend keeps them in work, and a signal heard in the same look of the reactor has the connection asked before its task's turn.

--- a/crates/heathroad/src/front/crossings.rs
+++ b/crates/heathroad/src/front/crossings.rs
@@ -8,16 +8,16 @@
 use crate::engine::Engine;
 use crate::engine::tests::facts;
 use crate::router::Router;
-use std::future::poll_fn;
+use serde_json::json;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
-use std::task::Poll;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, LocalSet, spawn_blocking, spawn_local, yield_now};
 use tokio::time::timeout;
+use turnshift::api::ListKind;
 
 const LONG: Duration = Duration::from_secs(20);
 
@@ -48,7 +48,7 @@
 }
 
 fn request(id: usize) -> String {
-    format!("GET /look HTTP/1.1\r\nHost: o\r\nReq-Id: {id}\r\nReq-Deadline-Ms: 60000\r\n\r\n")
+    format!("GET /look HTTP/1.1\r\nHost: o\r\nReq-Id: {id}\r\nReq-Deadline-Ms: 300\r\n\r\n")
 }
 
 fn connect(addr: SocketAddr) -> TcpStream {
@@ -147,18 +147,32 @@
     LocalSet::new()
         .run_until(async {
             let s = scene().await;
+            let door = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+            // Its system takes connections, and nobody there answers: what is taken stays in work until its time is up.
+            let silent = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+            let host = json!({"host": "a", "dial": silent.local_addr().expect("bound"), "site": "a", "health": "SERVING"});
+            s.engine.list(ListKind::Full, vec![serde_json::from_value(host).expect("a host")]);
             let mut answered = 0;
-            for round in 0..20 {
+            for round in 0..5 {
                 let mut caller = served_once(s.addr, 2 * round).await;
+                let mut signal = connect(door.local_addr().expect("bound"));
+                let (waits, _) = door.accept().expect("it came");
+                waits.set_nonblocking(true).expect("a socket");
+                let (waits, room) = (tokio::net::TcpStream::from_std(waits).expect("a socket"), s.room.clone());
+                let sheds = spawn_local(async move {
+                    waits.readable().await.expect("open");
+                    room.shed();
+                });
+                while s.room.present() > 1 {
+                    yield_now().await;
+                }
+                yield_now().await;
+                // The reactor hears of both in one look, of the signal first: the connection's task knows of its request, and
+                // has its turn behind the one that asks it to leave.
+                signal.write_all(b"x").expect("open");
                 caller.write_all(request(2 * round + 1).as_bytes()).expect("open");
-                // The reactor looks, and the connection's task has its turn behind this one's.
-                let mut looked = false;
-                poll_fn(
-                    |_| if std::mem::replace(&mut looked, true) { Poll::Ready(()) } else { Poll::Pending },
-                )
-                .await;
-                s.room.shed();
                 answered += next(caller).await.1;
+                sheds.await.expect("no panic");
                 let counts = s.engine.counts().meter().text(&[], [0, 0]);
                 assert!(!counts.contains("\"left\""), "round {round}: it was taken and dropped");
             }
