Answers that end with their connection are passed on; what each ending says, by a table

Ruled out: resets that look like a close (each showed as ECONNRESET at the read, since nobody else asks the system about that connection meanwhile). At fault: `read` in backend/http.rs, which wanted a length of every answer.

Now an answer may end with its connection where its sender says that it closes it, or speaks HTTP/1.0; a reset is no end, and what says neither ends nowhere as before.

--- a/crates/heathroad/src/backend/http.rs
+++ b/crates/heathroad/src/backend/http.rs
@@ -9,7 +9,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::{HOST, HeaderName, HeaderValue};
-use hyper::{Method, Request, Response, StatusCode, Uri, header};
+use hyper::{Method, Request, Response, StatusCode, Uri, Version, header};
 use hyper_util::rt::TokioIo;
 use std::cell::RefCell;
 use std::error::Error;
@@ -225,8 +225,9 @@
     }
 }
 
-/// What an answer means; nothing if it is spoilt. Its length must be told, once, and be one that is allowed: what
-/// has none ends nowhere, and of two at most one is true.
+/// What an answer means; nothing if it is spoilt. Where it ends must be told, once, by a length that is allowed, or by its
+/// sender's word that it closes the connection behind it: what says neither ends nowhere, and of two lengths at most one is
+/// true. A reset is no end: it shows as an error of the read, since nobody else asks the system about this connection meanwhile.
 async fn read(answer: Response<Incoming>, purse: Option<&Purse>) -> Option<End> {
     let (head, mut body) = answer.into_parts();
     if let Some(purse) = purse {
@@ -234,21 +235,27 @@
     }
     // One walk over the few lines that there are costs less than a look-up for each name.
     let (mut declined, mut lengths, mut codings) = (None, 0, 0);
+    let mut closes = head.version == Version::HTTP_10;
     for (name, value) in &head.headers {
         if name == header::CONTENT_LENGTH {
             lengths += 1;
         } else if name == header::TRANSFER_ENCODING {
             codings += 1;
+        } else if name == header::CONNECTION {
+            let words = value.to_str().unwrap_or_default().split(',');
+            closes |= words.into_iter().any(|w| w.trim().eq_ignore_ascii_case("close"));
         } else if name == DECLINED {
             declined.get_or_insert(value == "1");
         }
     }
     let declined = declined.unwrap_or(false);
     let bodiless = matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-    if head.headers.len() > MAX_HEADERS
-        || lengths + codings != usize::from(!bodiless) && !(bodiless && lengths == 1)
-        || body.size_hint().lower() > MAX_BODY as u64
-    {
+    let told = match lengths + codings {
+        0 => bodiless || closes,
+        1 => !bodiless || lengths == 1,
+        _ => false,
+    };
+    if head.headers.len() > MAX_HEADERS || !told || body.size_hint().lower() > MAX_BODY as u64 {
         return None;
     }
     let (mut first, mut bytes) = (Bytes::new(), BytesMut::new());
