Pushed lists: no call waits in an outage, and a silent agent is noticed within the grace

What the agent gets at an outage's end counts as told at once, and sends to a backend that drains must end 0.55 s later. Whether an agent answers a call that it was sent while silent is not told; if not, a drain was heard of 2.25 s after it counted. At fault: `ask` in discovery/mod.rs waited for the same 2 s whatever came before.

Now the time in which silence is noticed follows from the settings' grace (0.5 s: watches of 250 ms, another call after 100 ms, four at most), and in an outage calls wait for nothing. Where lists are asked for nothing changes.

The test in tests/crossings.rs failed without it (the fifth call of the outage waited 2,000 ms); the bound by the grace is computed for five graces.

--- a/crates/heathroad/src/discovery/mod.rs
+++ b/crates/heathroad/src/discovery/mod.rs
@@ -38,15 +38,23 @@
 }
 
 /// Lists are pushed to an agent on this machine, which answers at once and at no cost. What it has counts as told here, also
-/// when it has been silent: it is asked often, and not by one call at a time, since one to a silent agent may hang for good.
-const PUSHED: Manner = Manner {
-    wait: Duration::from_secs(2),
-    silence: Duration::from_millis(250),
-    whole: Duration::from_millis(250),
-    stagger: Duration::from_millis(125),
-    calls: 4,
-    backoff: [Duration::from_millis(50), Duration::from_millis(50)],
-};
+/// what it gets at the end of an outage in which it was silent, and a call from before then may hang for good. So whatever
+/// falls silent and whenever, another call is made within the grace in which sends to a backend that drains have to end; and
+/// not by one call at a time.
+fn pushed(grace: Duration) -> Manner {
+    let grace = grace.clamp(GRACE[0], GRACE[1]);
+    Manner {
+        wait: grace / 2,
+        silence: grace / 5,
+        whole: grace / 5,
+        stagger: grace / 10,
+        calls: 4,
+        backoff: [Duration::from_millis(50), Duration::from_millis(50)],
+    }
+}
+
+/// A grace is taken as no shorter, since calls of a process that is late by itself must not pile up, and as no longer.
+const GRACE: [Duration; 2] = [Duration::from_millis(200), Duration::from_secs(2)];
 /// One service answers all proxies in turn, late at times, and each call is work: a watch that has fallen silent is noticed
 /// in time for one other call before what it misses counts as told, 2 s after its wait.
 const ASKED: Manner = Manner {
@@ -74,14 +82,15 @@
 }
 
 /// Follows discovery for ever and hands on what it hears. Where the list must be asked for, it does so when that
-/// is wanted and tells of failures; elsewhere it watches all the time.
+/// is wanted and tells of failures; elsewhere it watches all the time, and is late by less than the grace of a drain.
 pub async fn follow(
     hear: impl Fn(News),
     address: SocketAddr,
     must_ask: bool,
+    grace: Duration,
     mut wanted: watch::Receiver<bool>,
 ) {
-    let manner = if must_ask { ASKED } else { PUSHED };
+    let manner = if must_ask { ASKED } else { pushed(grace) };
     let (mut seq, mut link, mut pause) = (None, None, manner.backoff[0]);
     let mut fails = false;
     loop {
@@ -92,7 +101,9 @@
             continue;
         }
         let asked = Instant::now();
-        match ask(&mut link, address, seq, manner).await {
+        // In an outage nothing is waited for: what comes at its end would be missed by a call that waits from before.
+        let wait = if fails && !must_ask { Duration::ZERO } else { manner.wait };
+        match ask(&mut link, address, seq.map(|seq| (seq, wait)), manner).await {
             // An old state that comes behind a newer one would bring a draining backend back. A whole list stands,
             // whatever its version: discovery itself may have begun anew, and then has nothing that is newer than what is
             // held for a long time. So that is asked for.
@@ -128,17 +139,16 @@
 
 type Link = SendRequest<Empty<Bytes>>;
 
-/// The whole list first, then a watch from the version that is held. Where its answer is overdue others are asked for beside
+/// The whole list, or what comes after the version that is held, within a wait. Where its answer is overdue others are asked for beside
 /// it, on connections of their own, which wait for nothing; the first answer is the one.
 async fn ask(
     link: &mut Option<Link>,
     address: SocketAddr,
-    seq: Option<u64>,
+    after: Option<(u64, Duration)>,
     manner: Manner,
 ) -> Result<Page, String> {
-    let (wait, late) =
-        if seq.is_some() { (manner.wait, manner.silence) } else { (Duration::ZERO, manner.whole) };
-    let mut calls = vec![Box::pin(call(link.take(), address, seq.map(|seq| (seq, wait))))];
+    let (wait, late) = after.map_or((Duration::ZERO, manner.whole), |(_, wait)| (wait, manner.silence));
+    let mut calls = vec![Box::pin(call(link.take(), address, after))];
     let mut made = 1;
     let mut due = pin!(sleep(wait + late));
     poll_fn(|cx| {
@@ -165,7 +175,7 @@
                 return Poll::Ready(Err("no answer in time".to_string()));
             }
             made += 1;
-            calls.push(Box::pin(call(None, address, seq.map(|seq| (seq, Duration::ZERO)))));
+            calls.push(Box::pin(call(None, address, after.map(|(seq, _)| (seq, Duration::ZERO)))));
             due.set(sleep(manner.stagger));
         }
     })
@@ -243,16 +253,22 @@
     }
 
     /// What a silent watch misses counts as told 6 s after it fell silent, at its very beginning at worst, or 2 s after its wait
-    /// is over. Where calls cost nothing that is kept with a whole round of calls that hang, where they cost with one.
+    /// is over: where calls cost, one other call fits in before. Where they cost nothing, what an agent has got counts at
+    /// once, and sends end within the grace: whenever it falls silent or speaks again, a call made since is answered by then,
+    /// also where one more of them hangs.
     #[test]
     fn silence_is_noticed_in_time() {
         let told = |m: Manner| Duration::from_secs(6).max(m.wait + Duration::from_secs(2));
-        let round = |m: Manner, late: Duration| late + m.stagger * (m.calls as u32 - 1);
-        let again =
-            PUSHED.wait + round(PUSHED, PUSHED.silence) + PUSHED.backoff[1] + round(PUSHED, PUSHED.whole);
-        assert!(again < told(PUSHED), "{again:?}");
-        let once = ASKED.wait + round(ASKED, ASKED.silence);
+        let once = ASKED.wait + ASKED.silence + ASKED.stagger * (ASKED.calls as u32 - 1);
         assert!(once + ASKED.backoff[0] < told(ASKED), "{once:?}");
+        for ms in [200, 500, 1000, 2000, 60_000] {
+            let grace = Duration::from_millis(ms);
+            let m = pushed(grace);
+            let watch = m.wait + m.silence + m.stagger;
+            // Between two calls of one round, and from the last of a round to the second of the next.
+            let outage = m.silence.max(m.whole).max(m.stagger + m.backoff[1]) + m.stagger.max(m.silence);
+            assert!(watch < grace && outage < grace, "{grace:?}: {watch:?}, {outage:?}");
+        }
     }
 
     #[tokio::test]
@@ -271,7 +287,7 @@
         };
         LocalSet::new()
             .run_until(async move {
-                let following = spawn_local(follow(hear, addr, false, wanted));
+                let following = spawn_local(follow(hear, addr, false, Duration::from_secs(1), wanted));
                 let asked = timeout(Duration::from_secs(20), registry(listener, pages.to_vec())).await;
                 let asked = asked.expect("it asks on");
                 let versions: Vec<_> =
--- a/crates/heathroad/src/lib.rs
+++ b/crates/heathroad/src/lib.rs
@@ -129,7 +129,7 @@
     wanted: &watch::Receiver<bool>,
     acts: Option<Rc<Acts>>,
 ) -> JoinHandle<()> {
-    let engine = engine.clone();
+    let (engine, grace) = (engine.clone(), millis(engine.facts().site.drain_grace));
     let hear = move |news| match news {
         News::List(kind, hosts, seq) => {
             if let Some(acts) = &acts {
@@ -139,7 +139,7 @@
         }
         News::Failed => engine.list_failed(),
     };
-    spawn_local(discovery::follow(hear, address, must_ask, wanted.clone()))
+    spawn_local(discovery::follow(hear, address, must_ask, grace, wanted.clone()))
 }
 
 impl Lists {
--- a/crates/heathroad/src/router/registry.rs
+++ b/crates/heathroad/src/router/registry.rs
@@ -4,6 +4,7 @@
 use crate::discovery::roster::{Health, Host};
 use crate::discovery::{self, News};
 use crate::effort::spawn_local;
+use crate::engine::millis;
 use heathroad_expect::Node;
 use heathroad_routing::file::{self, Source};
 use heathroad_routing::nodes::{self, Standing};
@@ -45,7 +46,8 @@
         };
         // These are lists that are pushed: there is nothing to be wanted.
         let (_, wanted) = watch::channel(true);
-        let following = spawn_local(discovery::follow(hear, address, false, wanted)).abort_handle();
+        let grace = millis(self.base.facts.site.drain_grace);
+        let following = spawn_local(discovery::follow(hear, address, false, grace, wanted)).abort_handle();
         self.registries.borrow_mut().insert(address, Registry { hosts: BTreeMap::new(), following });
     }
 
--- a/crates/heathroad/tests/crossings.rs
+++ b/crates/heathroad/tests/crossings.rs
@@ -406,6 +406,26 @@
     drop((watch, first, second));
 }
 
+/// In an outage an agent takes calls and answers none, nor those after it. What it gets at the end counts at once, and only a
+/// call that is made by then may hear of it: while nothing answers, none waits.
+#[tokio::test]
+async fn in_an_outage_no_call_waits() {
+    let orders = Arc::new(Orders::default());
+    let (mut registry, a, b, proxy, _discovery) = followed(&orders).await;
+    let mut hang = Vec::new();
+    for n in 0..9 {
+        let (target, stream) = registry.call().await;
+        let at_once = target == "/registry/instances?after=41&wait_ms=0";
+        assert!(at_once || n == 0, "call {n} of the outage waits: {target}");
+        hang.push(stream);
+    }
+    let (_, stream) = registry.call().await;
+    let news = page(42, false, vec![a.line("DRAINING")]);
+    told(&mut registry, stream, &news, "/registry/instances?after=42").await;
+    only_b(&proxy).await;
+    drop((hang, b));
+}
+
 #[tokio::test]
 async fn a_list_that_breaks_off_is_asked_for_again() {
     let orders = Arc::new(Orders::default());
