Callers who have left before their request is read are not sent on

Seen by a test: a caller connects, sends and closes (or resets) before the proxy's turn; its request went out over a kept connection, because the connection's task looked for the end only behind the request's first attempt, and the backend's connection had its turn first. For a connection that has just come the reactor knows of no end yet: the runtime takes a new socket for readable without asking. Ruled out: connections that had said nothing and kept ones, by a close or a reset.

Now a request's caller is looked for before the request is decided: by what the reactor was told, for nothing; on a connection's first request by one look at the socket, since its request may have lain in the queue for long. It counts as left.

Also the stop: a first request was waited for until 0.75 s after SIGTERM, and the kill may come 0.7 s and the longest deadline after it, so that with short deadlines a request taken then could be due when the kill comes. It is now waited for until 0.65 s; two constants that do not compile otherwise hold the sums.

--- a/crates/heathroad/src/engine/mod.rs
+++ b/crates/heathroad/src/engine/mod.rs
@@ -340,11 +340,11 @@
         answer
     }
 
-    /// Counts a request that is refused before it is decided, for want of room.
-    pub fn turned_away(&self, incoming: &Incoming) {
-        self.counts.answered(incoming.class, incoming.tenant, Final::Refused);
+    /// Counts a request that ends before it is decided: refused for want of room, or left by its caller.
+    pub fn undecided(&self, incoming: &Incoming, end: Final) {
+        self.counts.answered(incoming.class, incoming.tenant, end);
         incoming.act(Act::Bound);
-        incoming.act(Act::Refused);
+        incoming.act(act(end));
     }
 
     /// Requests refused while this proxy was fenced: the pool has no part in these.
--- a/crates/heathroad/src/front/crossings.rs
+++ b/crates/heathroad/src/front/crossings.rs
@@ -9,10 +9,12 @@
 use crate::engine::tests::facts;
 use crate::router::Router;
 use serde_json::json;
+use std::cell::RefCell;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, LocalSet, spawn_blocking, spawn_local, yield_now};
@@ -181,3 +183,93 @@
         })
         .await;
 }
+
+/// A backend that serves each request, and the ids of those that it got, in order.
+fn serves(listener: TcpListener) -> Rc<RefCell<Vec<String>>> {
+    let seen = Rc::<RefCell<Vec<String>>>::default();
+    let saw = seen.clone();
+    spawn_local(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.expect("it comes");
+            let saw = saw.clone();
+            spawn_local(async move {
+                let mut bytes = Vec::new();
+                while stream.read_buf(&mut bytes).await.is_ok_and(|n| n > 0) {
+                    let text = String::from_utf8(bytes.clone()).expect("text");
+                    if text.ends_with("\r\n\r\n") {
+                        let id = text.lines().find_map(|l| l.strip_prefix("req-id: ")).expect("an id");
+                        saw.borrow_mut().push(id.to_string());
+                        bytes.clear();
+                        let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood";
+                        stream.write_all(answer).await.expect("open");
+                    }
+                }
+            });
+        }
+    });
+    seen
+}
+
+/// Calls once and takes the answer; the connection, as it is then.
+async fn served(addr: SocketAddr, id: &str) -> TcpStream {
+    let mut caller = tokio::net::TcpStream::connect(addr).await.expect("it listens");
+    let call = request(0).replace("Req-Id: 0", &format!("Req-Id: {id}")).replace(" 300", " 60000");
+    caller.write_all(call.as_bytes()).await.expect("open");
+    let mut answer = Vec::new();
+    while !answer.ends_with(b"good") {
+        assert_ne!(timeout(LONG, caller.read_buf(&mut answer)).await.expect("it comes").expect("open"), 0);
+    }
+    caller.into_std().expect("a socket")
+}
+
+/// Callers that have left by the time at which their requests are read, by a close or a reset: on a new connection, on one that
+/// had said nothing so far, and on one that was served, nothing is sent for them, though a connection to a backend is at hand.
+#[tokio::test]
+async fn who_has_left_before_its_request_is_read_is_not_sent_on() {
+    LocalSet::new()
+        .run_until(async {
+            let s = scene().await;
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let host = json!({"host": "a", "dial": listener.local_addr().expect("bound"), "site": "a", "health": "SERVING"});
+            let seen = serves(listener);
+            s.engine.list(ListKind::Full, vec![serde_json::from_value(host).expect("a host")]);
+            drop(served(s.addr, "first").await);
+            let mut expected = vec!["first".to_string()];
+            for reset in [false, true] {
+                for at in ["new", "quiet", "kept"] {
+                    let wait_for = async |present| {
+                        let all = async {
+                            while s.room.present() != present {
+                                yield_now().await;
+                            }
+                        };
+                        timeout(LONG, all).await.expect("places are taken and given back");
+                    };
+                    wait_for(0).await;
+                    let mut caller = match at {
+                        "kept" => served(s.addr, at).await,
+                        _ => connect(s.addr),
+                    };
+                    expected.extend((at == "kept").then(|| at.to_string()));
+                    if at != "new" {
+                        wait_for(1).await;
+                        // Its task has looked at it, and waits.
+                        yield_now().await;
+                    }
+                    caller.write_all(request(7).replace(" 300", " 60000").as_bytes()).expect("open");
+                    if reset {
+                        socket2::SockRef::from(&caller).set_linger(Some(Duration::ZERO)).expect("a socket");
+                    }
+                    drop(caller);
+                    // It came, and its turn has been: who comes behind it is served.
+                    let behind = served(s.addr, "behind").await;
+                    expected.push("behind".to_string());
+                    drop(behind);
+                    wait_for(0).await;
+                    assert_eq!(*seen.borrow(), expected, "{at} {reset}");
+                }
+            }
+            s.serving.abort();
+        })
+        .await;
+}
--- a/crates/heathroad/src/front/http.rs
+++ b/crates/heathroad/src/front/http.rs
@@ -5,6 +5,7 @@
 use crate::backend::http::{self, DEADLINE, ID, KEY};
 use crate::backend::{Call, MAX_BODY};
 use crate::budget::{self, Books, SPENT};
+use crate::counts::Final;
 use crate::effort::{sleep, spawn_in, timeout_at};
 use crate::engine::{self, Answer, Incoming, away};
 use crate::fleet::acts;
@@ -23,7 +24,7 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::future::{Future, poll_fn};
+use std::future::{Future, pending, poll_fn};
 use std::pin::pin;
 use std::rc::Rc;
 use std::task::Poll;
@@ -40,7 +41,7 @@
 /// Pause when nothing can be accepted.
 const STARVED: Duration = Duration::from_millis(10);
 /// When it stops, a connection that has just come and sent nothing yet is given so long for its first request.
-const FIRST: Duration = Duration::from_millis(250);
+pub const FIRST: Duration = Duration::from_millis(150);
 /// Share of the places that callers may fill with requests who have not been served on their connection yet: a
 /// burst of requests that are worth nothing must leave room for the others.
 const NEWCOMERS: f64 = 0.75;
@@ -216,11 +217,17 @@
                 *reply
             }
             Ok((incoming, _, bound)) if self.overrun(seat, crowded) => {
-                bound.engine.turned_away(&incoming);
+                bound.engine.undecided(&incoming, Final::Refused);
                 write(Answer::Refused { retry_after: away(&self.facts) })
             }
             Ok((incoming, _held, bound)) => {
                 seat.stage.set(Stage::Taken);
+                // Its caller may have left while it lay unread: nothing is begun for nobody. The connection's task sees
+                // the same, and ends.
+                if seat.wire.left(!seat.answered.get()) {
+                    bound.engine.undecided(&incoming, Final::Left);
+                    return pending().await;
+                }
                 let _taken = Taken::new(&self.room);
                 let (answer, spent) = bound.engine.decide(incoming).await;
                 seat.served.set(seat.served.get() || matches!(answer, Answer::Served(_)));
--- a/crates/heathroad/src/front/wire.rs
+++ b/crates/heathroad/src/front/wire.rs
@@ -3,7 +3,7 @@
 
 use super::room::{Room, Seat, Stock};
 use crate::effort;
-use crate::stream::Peek;
+use crate::stream::{Peek, peek};
 use bytes::{Buf, BytesMut};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
@@ -13,6 +13,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 
 /// Most that is read ahead on a connection: callers send one request at a time, and what is more waits in the system.
@@ -35,6 +36,16 @@
         Wire { io, ahead: RefCell::default(), stock, ended: Cell::new(false) }
     }
 
+    /// Whether the caller has ended by now, with nothing behind its request. Of a connection that is `fresh` the reactor knows
+    /// nothing yet, and the system is asked; of others it has been told.
+    pub fn left(&self, fresh: bool) -> bool {
+        let lies = self.with(|s| if fresh { peek(s) } else { s.try_io(Interest::READABLE, || peek(s)) });
+        match lies {
+            Ok(lies) => lies == 0,
+            Err(e) => e.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
     /// Waits for the caller's end while `taken` says that a request of its is in work; `most` bytes are held for all callers.
     /// It has to be looked at again, by the same task, whenever `taken` may have changed.
     pub async fn gone(&self, taken: impl Fn() -> bool, most: usize) {
--- a/crates/heathroad/src/lib.rs
+++ b/crates/heathroad/src/lib.rs
@@ -66,6 +66,11 @@
 const LINGER: Duration = Duration::from_millis(500);
 /// So long after SIGTERM all that was taken must be answered; a kill may follow soon after.
 const LAST: Duration = Duration::from_millis(3300);
+/// No kill comes sooner after SIGTERM than the longest deadline, but 3 s at most, and so long: what is taken in this time is
+/// answered by its own deadline.
+const KILL: Duration = Duration::from_millis(700);
+const _: () = assert!(LINGER.as_millis() + front::http::FIRST.as_millis() < KILL.as_millis());
+const _: () = assert!(LAST.as_millis() < 3000 + KILL.as_millis());
 /// How often kept connections are looked through for old ones, and backends for those that are gone.
 const SWEEP: Duration = Duration::from_secs(1);
 /// Descriptors that are neither callers' nor backends' connections: standard streams, the listener, the
--- a/crates/heathroad/src/stream.rs
+++ b/crates/heathroad/src/stream.rs
@@ -125,12 +125,16 @@
     fn unread(&self) -> bool;
 }
 
+/// Whether something lies on a stream, none if it has ended, by the system's word: the reactor knows only what it was told when
+/// it last looked.
+pub fn peek(stream: &TcpStream) -> io::Result<usize> {
+    effort::look();
+    SockRef::from(stream).peek(&mut [MaybeUninit::uninit()])
+}
+
 impl Peek for TokioIo<TcpStream> {
     fn unread(&self) -> bool {
-        // The reactor knows only what it was told when it last looked.
-        effort::look();
-        let seen = SockRef::from(self.inner()).peek(&mut [MaybeUninit::uninit()]);
-        !matches!(seen, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+        !matches!(peek(self.inner()), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 }
 
