JSON-RPC at the stop: callers in the accept queue and calls that lie unread are answered

At fault: `Door::accept` and the end of `talk` in front/rpc.rs. Ruled out: a listener that goes by a change of routes keeps its queue, since its socket may go on being used.

Now the queue is emptied as over HTTP, by the same function; at the stop what lies in a connection is read first and refused (a refusal says that nothing was done), and one who has just come and said nothing yet is waited for 150 ms.

The test in front/crossings.rs failed with each half undone ("it closed on them"; ten calls without an answer). A call that comes during the close itself is still passed over, which its caller can tell by the end of the connection.

--- a/crates/heathroad/src/front/crossings.rs
+++ b/crates/heathroad/src/front/crossings.rs
@@ -3,6 +3,7 @@
 
 use super::http::Front;
 use super::room::Room;
+use super::rpc;
 use crate::backend::{Limits, Pool};
 use crate::counts::{Counts, Meter};
 use crate::engine::Engine;
@@ -273,3 +274,77 @@
         })
         .await;
 }
+
+/// Callers over JSON-RPC in a listener's queue at the stop, with their call and without, and one who was served before and whose
+/// next call lies unread: each call is answered, if only by a refusal.
+#[tokio::test]
+async fn calls_in_the_queue_and_unread_at_the_stop_are_answered() {
+    let folder = std::env::temp_dir().join(format!("heathroad-queue-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let (routes, config) = (folder.join("routes.toml"), folder.join("config.json"));
+    let pool = "[[pool]]\nname = \"p\"\nbackends = [{ address = \"127.0.0.1:9\" }]\n[pool.rpc]\n";
+    let class = "[[pool.class]]\nname = \"look\"\neffect = \"safe\"\naim_ms = 100\ndeadline_ms = 200\n";
+    let route = "[[route]]\nname = \"all\"\npool = \"p\"\n";
+    let listener = "[[listener]]\nname = \"calls\"\nlisten = \"127.0.0.1:0\"\nframing = \"lines\"\nprotocol = \"json-rpc\"\n";
+    let method = "[[listener.method]]\nname = \"look\"\nclass = \"look\"\n";
+    std::fs::write(&routes, [pool, class, route, listener, method].concat()).expect("written");
+    let settings = json!({"slotNo": 0, "peersTotal": 1, "tier": 0, "locality": 0, "localities": ["a"], "tick": 5.0,
+        "overShareWorth": 0.05, "discovery": "automatic", "tenants": [],
+        "classes": [{"name": "look", "aim": 1000.0, "giveUp": 2000.0, "points": 1.0, "semantics": "retryable", "group": "all",
+                     "window": 0.0}],
+        "caps": {"cancelling": true, "retryAfter": false, "maxRetryAfter": 0.0, "tryLimit": 3, "openCap": 100,
+                 "connIdle": 60_000.0, "connectTimeout": 2000.0},
+        "guarantees": {"coldFrom": 0.1, "cold": 1000.0, "fallMultiple": 3.0, "fall": 1000.0, "stopSendingWithin": 500.0}});
+    let text = json!({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "8c1f30d27a5be964",
+        "limits": {"sockets": 256, "memory_mb": 64}, "settings": settings});
+    std::fs::write(&config, text.to_string()).expect("written");
+    LocalSet::new()
+        .run_until(async {
+            let config = crate::configuration::check(&config).expect("a good file");
+            let limits =
+                Limits { connections: 4, connect: LONG, idle: LONG, drain_grace: LONG, may_duplicate: true };
+            let many = crate::router::start::start(&routes, &config, &Rc::new(Pool::new(limits)), None);
+            let many = many.expect("good routes");
+            let addr = many.doors()[0].1.local_addr().expect("bound");
+            let room = Rc::<Room>::default();
+            let (connections, bodies) = (100, 1 << 20);
+            let front =
+                rpc::Front { many, facts: facts(), connections, bodies, room: room.clone(), books: None };
+            let (stop, stopped) = watch::channel(false);
+            let serving = spawn_local(Rc::new(front).serve(stopped));
+            let call = |id: usize| format!("{{\"jsonrpc\":\"2.0\",\"id\":{id},\"method\":\"look\"}}\n");
+            let mut kept = connect(addr);
+            kept.write_all(call(1).as_bytes()).expect("open");
+            let read = spawn_blocking(move || {
+                let (mut line, mut one) = (Vec::new(), [0]);
+                while line.last() != Some(&b'\n') && kept.read_exact(&mut one).is_ok() {
+                    line.push(one[0]);
+                }
+                (kept, line)
+            });
+            let (mut kept, line) = timeout(LONG, read).await.expect("it comes").expect("no panic");
+            assert!(line.ends_with(b"\n"), "it was answered");
+            let before = room.present();
+            let mut callers: Vec<_> = (0..10).map(|_| connect(addr)).collect();
+            for (id, caller) in callers.iter_mut().enumerate().filter(|(id, _)| id % 2 == 0) {
+                caller.write_all(call(id).as_bytes()).expect("open");
+            }
+            kept.write_all(call(2).as_bytes()).expect("open");
+            stop.send_replace(true);
+            // The others send a moment later.
+            while room.present() < before + callers.len() {
+                assert!(!serving.is_finished(), "it closed on them");
+                yield_now().await;
+            }
+            for (id, caller) in callers.iter_mut().enumerate().filter(|(id, _)| id % 2 == 1) {
+                caller.write_all(call(id).as_bytes()).expect("open");
+            }
+            for (id, caller) in callers.into_iter().chain([kept]).enumerate() {
+                let text = rest(caller).await;
+                assert_eq!(text.matches("\"error\"").count(), 1, "{id}: {text:?}");
+            }
+            timeout(LONG, serving).await.expect("it ends").expect("no panic");
+        })
+        .await;
+    std::fs::remove_dir_all(folder).expect("a folder");
+}
--- a/crates/heathroad/src/front/http.rs
+++ b/crates/heathroad/src/front/http.rs
@@ -1,6 +1,6 @@
 //! Requests over HTTP: takes them, checks them, and writes each one's answer.
 
-use super::room::{ARRIVE, Held, Room, SPARE, Seat, Seated, Stage, Taken};
+use super::room::{ARRIVE, FIRST, Held, Room, SPARE, Seat, Seated, Stage, Taken, queued};
 use super::wire::Half;
 use crate::backend::http::{self, DEADLINE, ID, KEY};
 use crate::backend::{Call, MAX_BODY};
@@ -40,8 +40,6 @@
 const SWEEP: Duration = Duration::from_millis(250);
 /// Pause when nothing can be accepted.
 const STARVED: Duration = Duration::from_millis(10);
-/// When it stops, a connection that has just come and sent nothing yet is given so long for its first request.
-pub const FIRST: Duration = Duration::from_millis(150);
 /// Share of the places that callers may fill with requests who have not been served on their connection yet: a
 /// burst of requests that are worth nothing must leave room for the others.
 const NEWCOMERS: f64 = 0.75;
@@ -108,16 +106,15 @@
                 }
             }
         }
-        // Whoever has come by now is in the system's queue, and would be reset with it. The system is asked, since the reactor
-        // knows only what it was told when it last looked.
-        if let Ok(queue) = listener.into_std() {
-            while present() < self.connections + SPARE
-                && let Ok((stream, _)) = queue.accept()
-            {
-                let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
-                stream.into_iter().for_each(|s| spawn_in(&mut open, self.clone().seat(s, closing.clone())));
-            }
+        // Whoever has come by now is in the system's queue.
+        let mut queue = queued(&listener);
+        while present() < self.connections + SPARE
+            && let Some(stream) = queue.next()
+        {
+            spawn_in(&mut open, self.clone().seat(stream, closing.clone()));
         }
+        drop(queue);
+        drop(listener);
         loop {
             tokio::select! {
                 ended = open.join_next() => if ended.is_none() { return },
--- a/crates/heathroad/src/front/room.rs
+++ b/crates/heathroad/src/front/room.rs
@@ -3,11 +3,12 @@
 use super::wire::Wire;
 use crate::stream::Progress;
 use hyper::header::HeaderValue;
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -16,6 +17,8 @@
 pub const ARRIVE: Duration = Duration::from_secs(2);
 /// A connection may rest so long between requests, while places last.
 const REST: Duration = Duration::from_secs(60);
+/// When it stops, a connection that has just come and sent nothing yet is given so long for its first request.
+pub const FIRST: Duration = Duration::from_millis(150);
 /// Connections past the limit, taken only to be refused at once.
 pub const SPARE: usize = 16;
 
@@ -76,6 +79,18 @@
     }
 }
 
+/// Who waits in a listener's queue by the system's word, since the reactor knows only what it was told when it last looked.
+/// With the listener they would be reset.
+pub fn queued(listener: &TcpListener) -> impl Iterator<Item = TcpStream> {
+    let queue = SockRef::from(listener);
+    let next = move || queue.accept().ok().map(|(stream, _)| std::net::TcpStream::from(stream));
+    // One that can't be used any more is no reason to leave the others there.
+    std::iter::from_fn(next).filter_map(|stream| {
+        stream.set_nonblocking(true).ok()?;
+        TcpStream::from_std(stream).ok()
+    })
+}
+
 /// What callers hold of the proxy.
 #[derive(Default)]
 pub struct Room {
--- a/crates/heathroad/src/front/rpc.rs
+++ b/crates/heathroad/src/front/rpc.rs
@@ -4,7 +4,7 @@
 //! own. What is read ahead is bounded by the calls in work and the answers that wait to be read.
 
 use super::pace::Pace;
-use super::room::{Guest, Room, SPARE as SPARE_PLACES, Stock, Taken};
+use super::room::{FIRST, Guest, Room, SPARE as SPARE_PLACES, Stock, Taken, queued};
 use crate::backend::{Call as Outward, rpc};
 use crate::budget::{self, Books};
 use crate::counts::Final;
@@ -12,6 +12,7 @@
 use crate::engine::{self, Answer, Incoming, away, millis};
 use crate::router::many::Many;
 use crate::router::{Ask, Bound};
+use crate::stream::peek;
 use bytes::{Buf, Bytes, BytesMut};
 use heathroad_budget::path::Mark;
 use heathroad_jsonrpc::message::{
@@ -87,7 +88,7 @@
 impl Front {
     /// Serves the listeners of whichever generation is in force, until `stop` is set and the last call is answered.
     pub async fn serve(self: Rc<Self>, mut stop: watch::Receiver<bool>) {
-        let mut changed = self.many.doors_changed();
+        let (mut changed, ending) = (self.many.doors_changed(), stop.clone());
         let mut running: BTreeMap<String, (Listener, watch::Sender<bool>)> = BTreeMap::new();
         let mut open = JoinSet::new();
         loop {
@@ -104,7 +105,7 @@
                 if !running.contains_key(&listener.name) {
                     let (stop, stopped) = watch::channel(false);
                     let door = Rc::new(Door::new(self.clone(), listener.clone()));
-                    spawn_in(&mut open, door.accept(socket, stopped));
+                    spawn_in(&mut open, door.accept(socket, stopped, ending.clone()));
                     running.insert(listener.name.clone(), (listener, stop));
                 }
             }
@@ -147,7 +148,14 @@
         Door { front, is, seats: RefCell::default() }
     }
 
-    async fn accept(self: Rc<Self>, socket: Rc<TcpListener>, mut stop: watch::Receiver<bool>) {
+    /// Takes connections until `stop` is set, which it is too where the listener is no longer wanted while the proxy goes on
+    /// without `ending`.
+    async fn accept(
+        self: Rc<Self>,
+        socket: Rc<TcpListener>,
+        mut stop: watch::Receiver<bool>,
+        ending: watch::Receiver<bool>,
+    ) {
         let _socket = Guest::new(&self.front.room);
         let (mut open, stopped, mut number) = (JoinSet::new(), stop.clone(), 0);
         loop {
@@ -162,15 +170,9 @@
                 // Those who leave elsewhere tell nobody here.
                 () = sleep(LINGER), if full => {}
                 accepted = socket.accept(), if !full => match accepted {
-                    Ok((stream, peer)) => {
+                    Ok((stream, _)) => {
                         number += 1;
-                        let full = self.seats.borrow().len() >= self.is.connections as usize
-                            || self.front.room.present() >= self.front.connections;
-                        if full && !self.shed() {
-                            spawn_in(&mut open, self.clone().turn_away(stream));
-                        } else {
-                            spawn_in(&mut open, self.clone().seat(number, stream, peer.ip(), stopped.clone()));
-                        }
+                        self.enter(&mut open, number, stream, &stopped);
                         // Its place counts from now on.
                         yield_now().await;
                     }
@@ -181,10 +183,35 @@
                 }
             }
         }
+        // Whoever has come by a planned stop is in the system's queue. A socket that others go on listening to is theirs.
+        if *ending.borrow() {
+            let room = self.front.connections + SPARE_PLACES;
+            for stream in queued(&socket).take(room.saturating_sub(self.front.room.present())) {
+                number += 1;
+                self.enter(&mut open, number, stream, &stopped);
+            }
+        }
         drop(socket);
         while open.join_next().await.is_some() {}
     }
 
+    /// A new caller, who is seated or turned away.
+    fn enter(
+        self: &Rc<Self>,
+        open: &mut JoinSet<()>,
+        number: u64,
+        stream: TcpStream,
+        stop: &watch::Receiver<bool>,
+    ) {
+        let full = self.seats.borrow().len() >= self.is.connections as usize
+            || self.front.room.present() >= self.front.connections;
+        if full && !self.shed() {
+            spawn_in(open, self.clone().turn_away(stream));
+        } else {
+            spawn_in(open, self.clone().seat(number, stream, stop.clone()));
+        }
+    }
+
     /// Ends the connection that has rested longest.
     fn shed(&self) -> bool {
         let seats = self.seats.borrow();
@@ -216,7 +243,9 @@
         write::error(REFUSED, "refused: nothing was done, and trying again is harmless", ms)
     }
 
-    async fn seat(self: Rc<Self>, number: u64, stream: TcpStream, peer: IpAddr, stop: watch::Receiver<bool>) {
+    async fn seat(self: Rc<Self>, number: u64, stream: TcpStream, stop: watch::Receiver<bool>) {
+        // One that has gone already has no address, and nothing to ask.
+        let Ok(peer) = stream.peer_addr().map(|peer| peer.ip()) else { return };
         let _guest = Guest::new(&self.front.room);
         let seat = Rc::new(Seat::default());
         self.seats.borrow_mut().insert(number, seat.clone());
@@ -412,6 +441,8 @@
         // As many calls are in work as may be: what comes next waits unread until then.
         let mut full: Option<Instant> = None;
         let (idle, mut pace) = (millis(is.idle_ms), Pace::new(is.calls as usize));
+        // By a stop, one who has just come and said nothing yet is waited for until then.
+        let (mut heard, mut first) = (false, None);
         loop {
             while let Some((group, member)) = work.overdue(Instant::now()) {
                 work.done(self.turn_away(group, member), front.bodies);
@@ -445,7 +476,12 @@
             }
             work.flush(is.in_order, is.framing, &mut out);
             let quiet = calls.is_empty() && work.groups.is_empty();
-            if quiet && (ended || self.stopping.get()) {
+            // At a stop, what lies here is read before the connection ends.
+            let leaves = quiet
+                && self.stopping.get()
+                && first.is_none_or(|first| heard || first <= Instant::now())
+                && !matches!(peek(reader.as_ref()), Ok(1..));
+            if quiet && ended || leaves {
                 if let Some(last) = last.take() {
                     write::frame(is.framing, &last, &mut out);
                 }
@@ -465,7 +501,8 @@
                 // Calls have limits of their own.
                 None => Instant::now() + STALL,
             };
-            let wake = [work.limit(), waits].into_iter().flatten().fold(limit, Instant::min);
+            let first_by = first.filter(|_| quiet && !heard);
+            let wake = [work.limit(), waits, first_by].into_iter().flatten().fold(limit, Instant::min);
             tokio::select! {
                 biased;
                 wrote = writer.write(&out), if !out.is_empty() => match wrote {
@@ -492,10 +529,13 @@
                             self.take(&text, false, &mut work).await;
                         }
                     }
-                    Ok(_) => moved = Instant::now(),
+                    Ok(_) => (heard, moved) = (true, Instant::now()),
                     Err(_) => return,
                 },
-                _ = stop.wait_for(|stop| *stop), if !self.stopping.get() => self.stopping.set(true),
+                _ = stop.wait_for(|stop| *stop), if !self.stopping.get() => {
+                    self.stopping.set(true);
+                    first = Some(Instant::now() + FIRST);
+                }
                 () = sleep_until(wake) => match begun {
                     _ if wake < limit => {}
                     _ if !out.is_empty() => return,
--- a/crates/heathroad/src/lib.rs
+++ b/crates/heathroad/src/lib.rs
@@ -69,7 +69,7 @@
 /// No kill comes sooner after SIGTERM than the longest deadline, but 3 s at most, and so long: what is taken in this time is
 /// answered by its own deadline.
 const KILL: Duration = Duration::from_millis(700);
-const _: () = assert!(LINGER.as_millis() + front::http::FIRST.as_millis() < KILL.as_millis());
+const _: () = assert!(LINGER.as_millis() + room::FIRST.as_millis() < KILL.as_millis());
 const _: () = assert!(LAST.as_millis() < 3000 + KILL.as_millis());
 /// How often kept connections are looked through for old ones, and backends for those that are gone.
 const SWEEP: Duration = Duration::from_secs(1);
