--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import ctypes
 import json
 import os
 import pathlib
@@ -130,6 +131,11 @@
             writer.close()
 
 
+def end_with_parent():
+    """Has the system kill this process when the script that started it ends, however it does."""
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL)
+
+
 class Daemon:
     """One heathroad process, started with `run` of the deploy file."""
 
@@ -152,7 +158,8 @@
         env.pop("RELAY_ADMIN", None)
         log = open(self.log_path, "a")
         self.process = await asyncio.create_subprocess_exec(
-            "/bin/sh", "-c", run, cwd=ROOT, env=env, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log)
+            "/bin/sh", "-c", run, cwd=ROOT, env=env, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
+            preexec_fn=end_with_parent)
         log.close()
         self.record("daemon", self.name, "started, process", self.process.pid)
         return self
