--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -209,6 +209,7 @@
         self.seq, self.hosts, self.changed = 1, {h["host"]: h for h in hosts}, asyncio.Condition()
         self.history = []
         self.port = None
+        self.writers = set()
 
     async def start(self):
         self.port = free_port()
@@ -217,6 +218,10 @@
     def address(self):
         return f"127.0.0.1:{self.port}"
 
+    def close_connections(self):
+        for writer in self.writers:
+            writer.close()
+
     def whole(self):
         return {"seq": self.seq, "whole": True, "hosts": list(self.hosts.values())}
 
@@ -231,6 +236,7 @@
             self.changed.notify_all()
 
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 first, _, _ = await read_message(reader)
