--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,149 +1,112 @@
-"""Keyed requests over a split of two pools, while answers get lost and clients retry.
+"""Discovery moves with a new configuration, and its list no longer names a backend that two pools share.
 
-One proxy, two pools of two nodes. The nodes of a pool drop repeats of a key for 10 s. For some seconds nodes run
-requests and their answers get lost; clients retry once what has failed, with the same key and a new id.
+One proxy. The pool `reads` takes its backends from discovery, the pool `writes` lists the same three by address. s1
+leaves: the whole list of the new discovery does not name it. It goes on answering.
 """
 import asyncio
+import json
 import pathlib
+import signal
 import sys
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "lib-2"))
 import rig  # noqa: E402
 
-REQUESTS = 24
-PAUSE_S = 0.15
-LOST_S = 3.0
-DEADLINE_MS = 1500
-WINDOW_S = 10.0
+# "What discovery has to tell counts as told 4 s after SIGHUP"; 500 ms to stop sending, and 50 ms on sockets.
+TOLD_AFTER_S = 4.0 if rig.TROUBLE else 0.0
+GRACE_S = 0.55
+# Requests a second of either kind, and what a backend takes for one: some six of a kind are open at a time.
+RATE = 60
+WORK_S = 0.1
 
 ROUTES = """
 [[pool]]
-name = "blue"
-backends = [{blue}]
+name = "reads"
+registry = "default"
 [[pool.class]]
-name = "claim-submit"
-effect = "keyed"
-group = "all"
-window_ms = 10000
+name = "look"
+effect = "safe"
 aim_ms = 700
 deadline_ms = 2000
 [[pool]]
-name = "green"
-backends = [{green}]
+name = "writes"
+backends = [{backends}]
 [[pool.class]]
-name = "claim-submit"
-effect = "keyed"
-group = "all"
-window_ms = 10000
+name = "payout"
+effect = "unsafe"
 aim_ms = 700
 deadline_ms = 2000
 [[route]]
-name = "claims"
-[[route.split]]
-pool = "blue"
-weight = 50
-[[route.split]]
-pool = "green"
-weight = 50
+name = "looks"
+class = "look"
+pool = "reads"
+[[route]]
+name = "payouts"
+class = "payout"
+pool = "writes"
 """
 
 
-class Pool:
-    """Nodes that share which keys they have seen: each runs a key once in 10 s, and answers a repeat as the first."""
-
-    def __init__(self, name, record):
-        self.name, self.record, self.ports = name, record, [rig.free_port() for _ in range(2)]
-        self.seen, self.ran, self.answers_lost = {}, [], False
-
-    def addresses(self):
-        return ", ".join(f'"127.0.0.1:{port}"' for port in self.ports)
-
-    async def start(self):
-        self.servers = [await asyncio.start_server(self.serve, "127.0.0.1", port) for port in self.ports]
-
-    async def serve(self, reader, writer):
-        try:
-            while True:
-                _, headers, _ = await rig.read_message(reader)
-                key, identity = headers["idempotency-key"], headers["req-id"]
-                if rig.now() - self.seen.get(key, -WINDOW_S) >= WINDOW_S:
-                    self.seen[key] = rig.now()
-                    self.ran.append(key)
-                    self.record(f"{self.name} runs {key} of request {identity}")
-                else:
-                    self.record(f"{self.name} drops the repeat {key} of request {identity}")
-                await asyncio.sleep(0.02)
-                if self.answers_lost:
-                    # The connection stays open and silent.
-                    self.record(f"{self.name}: the answer to {identity} is lost")
-                    await asyncio.sleep(60)
-                body = f"{key} done".encode()
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
-                await writer.drain()
-        except rig.ENDED:
-            pass
-        finally:
-            writer.close()
-
-
 async def play(case):
-    pools = [Pool("blue", case.record), Pool("green", case.record)]
-    for pool in pools:
-        await pool.start()
-    registry = rig.Registry([])
-    await registry.start()
+    backends = [rig.HttpBackend(f"s{number}", case.record, WORK_S) for number in (1, 2, 3)]
+    for backend in backends:
+        await backend.start()
+    entries = [rig.host_entry(backend.name, backend.address()) for backend in backends]
+    first, second = rig.Registry(entries), rig.Registry(entries[1:])
+    second.seq = 2
+    await first.start()
+    await second.start()
     routes = case.folder / "routes.toml"
-    routes.write_text(ROUTES.format(blue=pools[0].addresses(), green=pools[1].addresses()))
-    classes = [rig.one_class("claim-submit", "dedup", 2000.0)]
-    config = {"name": "n0", "listen": f"127.0.0.1:{rig.free_port()}", "discovery": registry.address(),
+    routes.write_text(ROUTES.format(backends=", ".join(f'"{backend.address()}"' for backend in backends)))
+    classes = [rig.one_class("look", "retryable", 2000.0), rig.one_class("payout", "fragile", 2000.0)]
+    config = {"name": "n0", "listen": f"127.0.0.1:{rig.free_port()}", "discovery": first.address(),
               "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
-              "routes": str(routes), "settings": rig.settings(0, 1, classes)}
-    await case.daemon("n0", config).start()
-    await asyncio.sleep(1)
+              "routes": str(routes), "known": first.whole(), "settings": rig.settings(0, 1, classes)}
+    daemon = case.daemon("n0", config)
+    await daemon.start()
+    await asyncio.sleep(2)
     host, port = config["listen"].split(":")
-    ids = iter(range(1, 1 << 20))
-
-    async def submit(number):
-        """One claim: a try, and one retry if that was refused, at once, within the time that nodes remember its key."""
-        key = f"{number:032x}"
-        for attempt in ("try", "retry"):
-            identity = f"{next(ids):016x}"
-            mark = "Req-Retry: 1\r\n" if attempt == "retry" else ""
-            request = (f"POST /claim-submit HTTP/1.1\r\nHost: x\r\nReq-Id: {identity}\r\nReq-Deadline-Ms: {DEADLINE_MS}\r\n"
-                       f"Idempotency-Key: {key}\r\n{mark}Content-Length: 2\r\n\r\nhi")
-            case.record(f"client sends {attempt} {identity} of {key}")
-            status, _ = await rig.http(host, int(port), request, 4)
-            case.record(f"client gets {status} for {identity}")
-            # "429 or 503 | refused: trying again is harmless". What has failed otherwise is left alone.
-            if status not in (429, 503):
-                return
-
-    # Warm: some claims without trouble.
-    for number in range(1000, 1010):
-        await submit(number)
+    kinds, tasks = {}, set()
+
+    async def ask(name, method, body):
+        identity = f"{len(kinds) + 1:016x}"
+        kinds[identity] = name
+        length = f"Content-Length: {len(body)}\r\n" if body else ""
+        request = (f"{method} /{name} HTTP/1.1\r\nHost: x\r\nReq-Id: {identity}\r\nReq-Deadline-Ms: 2000\r\n"
+                   f"{length}\r\n{body}")
+        case.record(f"client sends {identity} {name}")
+        status, answer = await rig.http(host, int(port), request, 4)
+        case.record(f"client gets {identity} {status} {answer.decode()}")
+
+    async def load(seconds):
+        """Both kinds of requests, each RATE times a second, whether or not earlier ones are answered."""
+        begin = rig.now()
+        for number in range(int(seconds * RATE)):
+            await asyncio.sleep(max(0, begin + number / RATE - rig.now()))
+            for words in (("look", "GET", ""), ("payout", "POST", "hi")):
+                task = asyncio.ensure_future(ask(*words))
+                tasks.add(task)
+                task.add_done_callback(tasks.discard)
+
+    await load(2)
     if rig.TROUBLE:
-        for pool in pools:
-            pool.answers_lost = True
-        case.record("answers get lost")
-
-        def over():
-            for pool in pools:
-                pool.answers_lost = False
-            case.record("answers get lost no more")
-        asyncio.get_running_loop().call_later(LOST_S, over)
-
-    async def later(number):
-        await asyncio.sleep(number * PAUSE_S)
-        await submit(number)
-
-    await asyncio.gather(*(later(number) for number in range(REQUESTS)))
-    await asyncio.sleep(1)
-    ran = [key for pool in pools for key in pool.ran]
-    breaks = [f"key {key} ran {ran.count(key)} times: " + ", ".join(p.name for p in pools if key in p.ran)
-              for key in sorted(set(ran)) if ran.count(key) > 1]
-    print(f"{len(set(ran))} keys ran, {len(breaks)} of them more than once")
-    return breaks
+        config["discovery"] = second.address()
+        daemon.file.write_text(json.dumps(config))
+        daemon.signal(signal.SIGHUP)
+        # The old one takes no new connection; it closes the open ones after 1.5 s.
+        first.server.close()
+        asyncio.get_running_loop().call_later(1.5, first.close_connections)
+    else:
+        await first.set({**entries[0], "health": "DELETED"})
+    told = rig.now() + TOLD_AFTER_S
+    case.record(f"what discovery has to tell, s1 is gone, counts as told at {told:.2f}")
+    await load(TOLD_AFTER_S + 6)
+    await asyncio.gather(*tasks)
+    late = [(at, identity) for at, identity in backends[0].ran if at > told + GRACE_S]
+    print(f"{len(kinds)} requests; s1 got {len(late)} of them after it counted as gone")
+    return [f"s1 was sent {kinds[identity]} {identity} {at - told:.2f} s after the proxy counts as told that it is gone"
+            for at, identity in late]
 
 
 rig.main(HERE, play)
--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -218,6 +218,12 @@
     def address(self):
         return f"127.0.0.1:{self.port}"
 
+    async def before(self, path):
+        """For cases: called when a call has come."""
+
+    async def after(self, path):
+        """For cases: called before the answer to a call is written."""
+
     def close_connections(self):
         for writer in self.writers:
             writer.close()
@@ -240,7 +246,9 @@
         try:
             while True:
                 first, _, _ = await read_message(reader)
-                query = first.split()[1].partition("?")[2]
+                path = first.split()[1]
+                await self.before(path)
+                query = path.partition("?")[2]
                 values = dict(part.split("=") for part in query.split("&") if part)
                 if "after" in values:
                     after = int(values["after"])
@@ -255,6 +263,7 @@
                               "hosts": [e for s, e in self.history if s > after]}
                 else:
                     answer = self.whole()
+                await self.after(path)
                 body = json.dumps(answer).encode()
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
                 await writer.drain()
