--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -320,13 +320,15 @@
     """Runs `play(case)`, which returns the list of breaks; exits with 0, 1 or 2."""
     async def run():
         case = Case(folder)
+        # A case that is told to end ends its processes as well.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             breaks = await asyncio.wait_for(play(case), limit)
         except CannotRun as error:
             case.record(f"could not run: {error}")
             print(f"could not run: {error}")
             return 2
-        except Exception as error:  # noqa: BLE001
+        except (Exception, asyncio.CancelledError) as error:  # noqa: BLE001
             case.record(f"could not run: {error!r}")
             print(f"could not run: {error!r}")
             return 2
