--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,24 +1,21 @@
-"""Clients over JSON-RPC that send a long text and stop before its end, beside a usual client over HTTP.
+"""A client over JSON-RPC whose writes end within texts, for longer than 2 s.
 
-One proxy with a limit of memory. The platform (this script) looks at the memory of its process, and kills it over the
-limit, as DEPLOY says.
+One proxy, four nodes. The client sends one call after another on one connection. Each write holds the rest of one text
+and the beginning of the next; each text is whole 50 ms after its first byte.
 """
 import asyncio
-import os
+import json
 import pathlib
-import signal
 import sys
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "lib-2"))
 import rig  # noqa: E402
+import rpc  # noqa: E402
 
-# "A proxy has ... 32 to 192 MB by language and day".
-MEMORY_MB = int(os.environ.get("MEMORY_MB", "64"))
-# Of 256 connections that a listener takes by default.
-CLIENTS = int(os.environ.get("CLIENTS", "40"))
-# Under the limit of a text, `text_kb`, 4096 by default.
-TEXT_BYTES = 4000 * 1024
+CALLS = 120
+PAUSE_S = 0.05
+WORK_S = 0.3
 
 ROUTES = """
 [[pool]]
@@ -27,8 +24,8 @@
 [pool.rpc]
 declined = -32050
 [[pool.class]]
-name = "look"
-effect = "safe"
+name = "payout"
+effect = "unsafe"
 aim_ms = 700
 deadline_ms = 2000
 [[route]]
@@ -40,87 +37,70 @@
 framing = "lines"
 protocol = "json-rpc"
 [[listener.method]]
-name = "look"
-class = "look"
+name = "payout"
+class = "payout"
 """
 
 
-def resident_mb(pid):
-    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("VmRSS:"):
-            return int(line.split()[1]) / 1024
-    return 0.0
-
-
 async def play(case):
-    backend = rig.HttpBackend("s1", case.record, 0.2)
-    await backend.start()
-    registry = rig.Registry([rig.host_entry("s1", backend.address())])
+    nodes = [rpc.Node(f"s{number}", case.record, WORK_S) for number in range(1, 5)]
+    for node in nodes:
+        await node.start()
+    registry = rig.Registry([rig.host_entry(node.name, node.address()) for node in nodes])
     await registry.start()
     port = rig.free_port()
     routes = case.folder / "routes.toml"
     routes.write_text(ROUTES.format(port=port))
     config = {"name": "n0", "listen": f"127.0.0.1:{rig.free_port()}", "discovery": registry.address(),
-              "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 256},
+              "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
               "routes": str(routes), "known": registry.whole(),
-              "settings": rig.settings(0, 1, [rig.one_class("look", "retryable", 2000.0)])}
-    daemon = case.daemon("n0", config)
-    await daemon.start()
+              "settings": rig.settings(0, 1, [rig.one_class("payout", "fragile", 2000.0)])}
+    await case.daemon("n0", config).start()
     await asyncio.sleep(1)
-    host, listen = config["listen"].split(":")
-    breaks, highest, killed = [], 0.0, False
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    sent, answers, ended = {}, {}, []
 
-    async def platform():
-        nonlocal highest, killed
-        while not killed:
-            try:
-                now = resident_mb(daemon.process.pid)
-            except OSError:
+    async def read():
+        while True:
+            line = await reader.readline()
+            if not line:
+                ended.append(rig.now())
+                case.record("client sees the end of the connection")
                 return
-            if now > highest + 5:
-                case.record(f"n0 holds {now:.0f} MB")
-            highest = max(highest, now)
-            if now > MEMORY_MB:
-                killed = True
-                breaks.append(f"n0 holds {now:.0f} MB, its limit is {MEMORY_MB}: it is killed")
-                daemon.signal(signal.SIGKILL)
-            await asyncio.sleep(0.02)
+            case.record(f"client gets {line.decode().strip()[:200]}")
+            answer = json.loads(line)
+            if answer.get("id") is not None:
+                answers[answer["id"]] = rig.now()
 
-    async def half_a_text():
-        # A call whose params are long; the end of the line never comes.
-        text = b'{"jsonrpc":"2.0","id":1,"method":"look","params":{"text":"' + b"x" * TEXT_BYTES
+    reading = asyncio.ensure_future(read())
+    rest = b""
+    for number in range(1, CALLS + 1):
+        # A client that reads the end of the connection sends nothing more.
+        if ended:
+            break
+        text = rpc.line({"jsonrpc": "2.0", "id": number, "method": "payout", "params": {"mark": f"p{number}"}})
+        cut = len(text) // 2 if rig.TROUBLE else len(text)
         try:
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
-            writer.write(text)
-            answer = await asyncio.wait_for(reader.read(200), 10)
-            case.record(f"a client that stopped half-way gets {answer[:120]!r}")
-            writer.close()
-        except (*rig.ENDED, asyncio.TimeoutError) as error:
-            case.record(f"a client that stopped half-way ends with {error!r}")
-
-    async def usual():
-        for number in range(40):
-            identity = f"{number + 1:016x}"
-            request = f"GET /look HTTP/1.1\r\nHost: x\r\nReq-Id: {identity}\r\nReq-Deadline-Ms: 2000\r\n\r\n"
-            case.record(f"the usual client sends {identity}")
-            try:
-                status, _ = await rig.http(host, int(listen), request, 4)
-                case.record(f"the usual client gets {status} for {identity}")
-            except (*rig.ENDED, asyncio.TimeoutError) as error:
-                case.record(f"the usual client gets no answer for {identity}: {error!r}")
-                if killed:
-                    breaks.append(f"request {identity} was lost with it")
-                    return
-
-    watching = asyncio.ensure_future(platform())
-    steady = asyncio.ensure_future(usual())
-    await asyncio.sleep(1)
-    if rig.TROUBLE:
-        await asyncio.gather(*(half_a_text() for _ in range(CLIENTS)))
-    await steady
-    watching.cancel()
-    print(f"{highest:.0f} MB at most, the limit is {MEMORY_MB} MB")
-    return breaks
+            # The rest of the text before, which makes that one whole, and the beginning of this one.
+            writer.write(rest + text[:cut])
+            await writer.drain()
+        except OSError:
+            break
+        if rest or not rig.TROUBLE:
+            whole = number - 1 if rig.TROUBLE else number
+            sent[whole] = rig.now()
+            case.record(f"client has sent call {whole} whole")
+        rest = text[cut:]
+        await asyncio.sleep(PAUSE_S)
+    await asyncio.sleep(4)
+    reading.cancel()
+    began = {mark for node in nodes for _, mark in node.began}
+    lost = [number for number in sent if number not in answers]
+    print(f"{len(sent)} calls were sent whole, {len(lost)} of them never answered; the connection "
+          + (f"ended at {ended[0]:.2f}" if ended else "stayed open"))
+    return [f"call {number}, whole at {sent[number]:.2f}, was never answered"
+            + (f"; the connection ended at {ended[0]:.2f}" if ended else "")
+            + ("; a node had run it" if f"p{number}" in began else "") for number in lost]
 
 
 rig.main(HERE, play)
--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# Exit code 1: the rule was broken, 0: it held, 2: the case could not run. TROUBLE=0: without the clients that stop half-way.
+# Exit code 1: the rule was broken, 0: it held, 2: the case could not run. TROUBLE=0: each write ends with a text.
 cd "$(dirname "$0")" && exec python3 case.py
