JSON-RPC: a debug line when a connection's input ends, with what had arrived

The decoder, the connection's timer of an incomplete text and what goes with them move to `message_reader`, unchanged in what they do, and the end of the input is logged at `debug`: why, how many messages were decoded, when the last one was, how long the timer has run, how many bytes wait, how many calls run.

--- a/crates/heathroad-jsonrpc/src/framing.rs
+++ b/crates/heathroad-jsonrpc/src/framing.rs
@@ -145,6 +145,11 @@
         &mut self.buffer
     }
 
+    /// Returns the number of bytes that belong to no returned text.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns whether the buffer holds a text, or the beginning of one.
     pub fn has_pending_text(&self) -> bool {
         self.content_length.is_some() || self.buffer.iter().any(|b| !is_whitespace(*b))
--- a/crates/heathroad/src/frontend/jsonrpc/connection.rs
+++ b/crates/heathroad/src/frontend/jsonrpc/connection.rs
@@ -2,19 +2,18 @@
 //! until all are written after the end of input, or the client disconnects.
 
 use super::JsonRpcFrontend;
-use super::answer;
 use super::exchange::{BoundCall, Exchanges, FinishedCall};
 use super::listener::{IdleState, ListenerServer};
+use super::message_reader::{InputError, MessageReader};
 use super::stream_io::{close, read_or_wait};
 use crate::frontend::batch_concurrency::BatchConcurrency;
 use crate::frontend::connections::{FIRST_REQUEST_GRACE, MESSAGE_TIMEOUT};
 use crate::runtime_accounting::{self, sleep_until, spawn_in};
 use crate::stall_detector;
 use crate::stream::peek;
-use crate::time::millis;
+use crate::time::{as_millis, millis};
 use bytes::{Buf, Bytes, BytesMut};
-use heathroad_jsonrpc::message::{NULL_ID, PARSE_ERROR, RequestError};
-use heathroad_jsonrpc::{Decoder, Limits, write};
+use heathroad_jsonrpc::write;
 use heathroad_routing::config::Listener;
 use std::cell::Cell;
 use std::net::IpAddr;
@@ -34,13 +33,6 @@
 /// Maximum time that input stays unread at the limit of running calls. After that, further calls
 /// are read and rejected.
 const MAX_UNREAD_WAIT: Duration = Duration::from_millis(250);
-/// Maximum nesting depth of a message.
-const MAX_DEPTH: u32 = 128;
-
-/// HTTP status under which messages that cannot be decoded are counted.
-const BAD_REQUEST: u16 = 400;
-/// HTTP status under which messages that do not arrive in time are counted.
-const REQUEST_TIMEOUT: u16 = 408;
 
 /// The client of a connection.
 pub(super) struct Client {
@@ -75,7 +67,7 @@
 /// The state of a connection's task.
 pub(super) struct Session {
     pub(super) client: Rc<Client>,
-    decoder: Decoder,
+    messages: MessageReader,
     pub(super) exchanges: Exchanges,
     calls: JoinSet<FinishedCall>,
     concurrency: BatchConcurrency,
@@ -87,8 +79,6 @@
     has_input_ended: bool,
     /// When input, output or an answer last made progress.
     last_activity: Instant,
-    /// When the partially received message started.
-    message_started_at: Option<Instant>,
     /// At the limit of running calls, until when input stays unread.
     unread_until: Option<Instant>,
     /// The earliest time at which the data of the last read can have arrived.
@@ -140,13 +130,8 @@
 impl Session {
     fn new(client: Rc<Client>) -> Session {
         let (listener, now) = (client.listener(), Instant::now());
-        let limits = Limits {
-            max_text_bytes: listener.max_message_bytes,
-            max_depth: MAX_DEPTH,
-            max_batch_len: listener.max_batch_size,
-        };
         Session {
-            decoder: Decoder::new(listener.framing, limits),
+            messages: MessageReader::new(listener, now),
             exchanges: Exchanges::default(),
             calls: JoinSet::new(),
             concurrency: BatchConcurrency::new(listener.max_concurrent_calls as usize),
@@ -154,7 +139,6 @@
             last_answer: None,
             has_input_ended: false,
             last_activity: now,
-            message_started_at: None,
             unread_until: None,
             arrival: stall_detector::earliest_arrival(now),
             has_read: false,
@@ -198,7 +182,7 @@
                     }
                     self.last_activity = Instant::now();
                 }
-                read = read_or_wait(reader, &mut self.decoder, wait.reads) => match read {
+                read = read_or_wait(reader, self.messages.buffer(), wait.reads) => match read {
                     // The client may have closed only its sending side and still expect answers.
                     Ok(0) => self.end_input().await,
                     Ok(_) => self.record_read(),
@@ -255,11 +239,11 @@
             if !may_read || !self.exchanges.has_capacity(self.client.listener()) {
                 return;
             }
-            match self.decoder.next_text() {
+            match self.messages.next() {
                 Ok(Some(text)) => self.accept_message(&text, is_crowded).await,
                 Ok(None) => return,
                 Err(_) if self.has_input_ended => return,
-                Err(error) => return self.abort_input(answer::framing_error(error), BAD_REQUEST),
+                Err(error) => return self.abort_input(InputError::Framing(error)),
             }
         }
     }
@@ -276,14 +260,26 @@
     }
 
     /// Stops reading after an error, which `last_answer` reports to the client.
-    fn abort_input(&mut self, last_answer: Bytes, status: u16) {
-        self.last_answer = Some(last_answer);
+    fn abort_input(&mut self, error: InputError) {
+        self.last_answer = Some(error.to_answer());
+        self.log_input_end(Some(error));
         self.has_input_ended = true;
-        self.client
-            .frontend()
-            .pools
-            .metrics()
-            .record_unusable(status);
+        let metrics = self.client.frontend().pools.metrics();
+        metrics.record_unusable(error.status());
+    }
+
+    fn log_input_end(&self, error: Option<InputError>) {
+        let progress = self.messages.progress(Instant::now());
+        tracing::debug!(
+            listener = self.client.listener().name,
+            ?error,
+            messages = progress.messages,
+            last_message_ms = as_millis(progress.since_last_message),
+            receiving_ms = as_millis(progress.receiving),
+            buffered_bytes = progress.buffered_bytes,
+            running_calls = self.calls.len(),
+            "JSON-RPC input ended"
+        );
     }
 
     fn is_quiescent(&self) -> bool {
@@ -322,8 +318,7 @@
             && unread_until.is_none()
             && self.exchanges.has_capacity(self.client.listener())
             && self.output.len() < MAX_OUTPUT;
-        let is_receiving = reads && self.decoder.has_pending_text();
-        self.message_started_at = is_receiving.then(|| self.message_started_at.unwrap_or(now));
+        let is_receiving = self.messages.update_timer(reads, now);
         let is_idle = self.is_quiescent() && self.output.is_empty() && !is_receiving;
         let deadline = self.deadline(is_idle, now);
         let first_message_deadline = self
@@ -346,7 +341,7 @@
 
     /// Returns when the client is overdue.
     fn deadline(&self, is_idle: bool, now: Instant) -> Instant {
-        match self.message_started_at {
+        match self.messages.started_at() {
             _ if !self.output.is_empty() => self.last_activity + WRITE_TIMEOUT,
             Some(started_at) => started_at + MESSAGE_TIMEOUT,
             None if is_idle => self.last_activity + millis(self.client.listener().idle_timeout_ms),
@@ -364,13 +359,7 @@
             return Some(SessionEnd::Disconnected);
         }
         if wait.is_receiving {
-            let expected = "a whole text within 2 s";
-            let late = RequestError {
-                code: PARSE_ERROR,
-                expected,
-                id: NULL_ID,
-            };
-            self.abort_input(answer::malformed(&late), REQUEST_TIMEOUT);
+            self.abort_input(InputError::Late);
             return None;
         }
         wait.is_idle.then_some(SessionEnd::Finished)
@@ -384,8 +373,9 @@
 
     /// Handles the end of input, including a final message without a terminator.
     async fn end_input(&mut self) {
+        self.log_input_end(None);
         self.has_input_ended = true;
-        if let Some(text) = self.decoder.finish() {
+        if let Some(text) = self.messages.finish() {
             self.accept_message(&text, false).await;
         }
     }
--- /dev/null
+++ b/crates/heathroad/src/frontend/jsonrpc/message_reader.rs
@@ -0,0 +1,130 @@
+//! Decodes the messages of a JSON-RPC connection and records when they arrived.
+
+use super::answer;
+use bytes::{Bytes, BytesMut};
+use heathroad_jsonrpc::message::{NULL_ID, PARSE_ERROR, RequestError};
+use heathroad_jsonrpc::{Decoder, FramingError, Limits};
+use heathroad_routing::config::Listener;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Maximum nesting depth of a message.
+const MAX_DEPTH: u32 = 128;
+/// HTTP status under which messages that cannot be decoded are counted.
+const BAD_REQUEST: u16 = 400;
+/// HTTP status under which messages that do not arrive in time are counted.
+const REQUEST_TIMEOUT: u16 = 408;
+
+/// Why a client's input is not read any further.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum InputError {
+    /// The stream cannot be split into messages.
+    Framing(FramingError),
+    /// A message did not arrive completely in time.
+    Late,
+}
+
+impl InputError {
+    /// Returns the HTTP status under which the error is counted.
+    pub(super) fn status(self) -> u16 {
+        match self {
+            InputError::Framing(_) => BAD_REQUEST,
+            InputError::Late => REQUEST_TIMEOUT,
+        }
+    }
+
+    /// Returns the answer that reports the error to the client.
+    pub(super) fn to_answer(self) -> Bytes {
+        match self {
+            InputError::Framing(error) => answer::framing_error(error),
+            InputError::Late => answer::malformed(&RequestError {
+                code: PARSE_ERROR,
+                expected: "a whole text within 2 s",
+                id: NULL_ID,
+            }),
+        }
+    }
+}
+
+/// Decodes a connection's input.
+pub(super) struct MessageReader {
+    decoder: Decoder,
+    /// Number of decoded messages.
+    messages: u64,
+    /// When the last message was decoded; before the first one, when the connection was accepted.
+    last_message_at: Instant,
+    /// When the partially received message started.
+    started_at: Option<Instant>,
+}
+
+/// What has arrived, for log lines.
+pub(super) struct InputProgress {
+    /// Number of decoded messages.
+    pub(super) messages: u64,
+    /// Time since the last one was decoded, or since the connection was accepted.
+    pub(super) since_last_message: Duration,
+    /// How long the timer of the partially received message has been running.
+    pub(super) receiving: Duration,
+    /// Bytes that were read but not decoded.
+    pub(super) buffered_bytes: usize,
+}
+
+impl MessageReader {
+    /// Returns the reader of a connection that was accepted at `now`.
+    pub(super) fn new(listener: &Listener, now: Instant) -> MessageReader {
+        let limits = Limits {
+            max_text_bytes: listener.max_message_bytes,
+            max_depth: MAX_DEPTH,
+            max_batch_len: listener.max_batch_size,
+        };
+        MessageReader {
+            decoder: Decoder::new(listener.framing, limits),
+            messages: 0,
+            last_message_at: now,
+            started_at: None,
+        }
+    }
+
+    /// Returns the buffer for received bytes.
+    pub(super) fn buffer(&mut self) -> &mut BytesMut {
+        self.decoder.buffer()
+    }
+
+    /// Returns the next complete message, if it has arrived.
+    pub(super) fn next(&mut self) -> Result<Option<Bytes>, FramingError> {
+        let text = self.decoder.next_text()?;
+        if text.is_some() {
+            self.messages += 1;
+            self.last_message_at = Instant::now();
+        }
+        Ok(text)
+    }
+
+    /// Returns the last message at the end of input, which has no terminator.
+    pub(super) fn finish(&mut self) -> Option<Bytes> {
+        self.decoder.finish()
+    }
+
+    /// Starts or stops the timer of the partially received message; returns whether it runs.
+    pub(super) fn update_timer(&mut self, reads: bool, now: Instant) -> bool {
+        let is_receiving = reads && self.decoder.has_pending_text();
+        self.started_at = is_receiving.then(|| self.started_at.unwrap_or(now));
+        is_receiving
+    }
+
+    /// Returns when the partially received message started.
+    pub(super) fn started_at(&self) -> Option<Instant> {
+        self.started_at
+    }
+
+    /// Returns what has arrived until `now`.
+    pub(super) fn progress(&self, now: Instant) -> InputProgress {
+        let receiving = self.started_at.map(|started_at| now - started_at);
+        InputProgress {
+            messages: self.messages,
+            since_last_message: now - self.last_message_at,
+            receiving: receiving.unwrap_or_default(),
+            buffered_bytes: self.decoder.buffered_bytes(),
+        }
+    }
+}
--- a/crates/heathroad/src/frontend/jsonrpc/mod.rs
+++ b/crates/heathroad/src/frontend/jsonrpc/mod.rs
@@ -5,8 +5,8 @@
 //! of unwritten answers.
 //!
 //! - `listener` accepts the connections of one listener.
-//! - `connection` is the task of a connection; `intake` accepts the messages that it decodes, and
-//!   `stream_io` reads from and closes its stream.
+//! - `connection` is the task of a connection; `message_reader` decodes its messages, `intake`
+//!   accepts them, and `stream_io` reads from and closes its stream.
 //! - `exchange` queues the calls of a connection's messages and collects their answers.
 //! - `call` binds a call and runs it through the engine; `answer` builds the answers.
 
@@ -16,6 +16,7 @@
 mod exchange;
 mod intake;
 mod listener;
+mod message_reader;
 mod stream_io;
 
 use super::connections::ConnectionTable;
--- a/crates/heathroad/src/frontend/jsonrpc/stream_io.rs
+++ b/crates/heathroad/src/frontend/jsonrpc/stream_io.rs
@@ -1,7 +1,7 @@
 //! Reads from and closes the stream of a JSON-RPC connection.
 
 use crate::runtime_accounting::{self, timeout};
-use heathroad_jsonrpc::Decoder;
+use bytes::BytesMut;
 use std::io;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
@@ -12,15 +12,15 @@
 /// Size of one discarding read, in bytes.
 const DISCARD_SIZE: usize = 1024;
 
-/// Reads into the decoder's buffer or, if `reads` is false, waits for an error: while the stream is
+/// Reads into a buffer or, if `reads` is false, waits for an error: while the stream is
 /// not read, only a reset shows that the client has disconnected.
 pub(super) async fn read_or_wait(
     reader: &mut ReadHalf<'_>,
-    decoder: &mut Decoder,
+    buffer: &mut BytesMut,
     reads: bool,
 ) -> io::Result<usize> {
     if reads {
-        let read = reader.read_buf(decoder.buffer()).await;
+        let read = reader.read_buf(buffer).await;
         return read.inspect(|_| runtime_accounting::read());
     }
     reader.ready(Interest::ERROR).await?;
