JSON-RPC: each message has its own time limit; one no longer inherits the last one's

Cause: the timer of an incomplete message ran for as long as the decoder held a part of any message. It was looked at between two reads only; where each read brings the end of one message and the beginning of the next, that is always so, and the timer kept the start of the first one.

Fix: a decoded message ends its timer, so that what lies behind it starts one of its own. The limit itself stays 2 s from the first byte of each.

The plan and scene of tests/jsonrpc.rs move to the rig, unchanged, so that the new test file can use them.

--- a/crates/heathroad/src/frontend/jsonrpc/message_reader.rs
+++ b/crates/heathroad/src/frontend/jsonrpc/message_reader.rs
@@ -53,7 +53,7 @@
     messages: u64,
     /// When the last message was decoded; before the first one, when the connection was accepted.
     last_message_at: Instant,
-    /// When the partially received message started.
+    /// When the partially received message started: the first bytes behind the last complete one.
     started_at: Option<Instant>,
 }
 
@@ -96,6 +96,7 @@
         if text.is_some() {
             self.messages += 1;
             self.last_message_at = Instant::now();
+            self.started_at = None;
         }
         Ok(text)
     }
--- a/crates/heathroad/tests/jsonrpc.rs
+++ b/crates/heathroad/tests/jsonrpc.rs
@@ -4,6 +4,7 @@
 mod rig;
 
 use rig::rpc::{Act, Node, Raw, Script, call, code};
+use rig::rpc_scene::{Plan, nodes, scene};
 use rig::*;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
@@ -17,73 +18,6 @@
 const FAILED: i64 = -32002;
 const TIMED_OUT: i64 = -32003;
 
-/// One pool that serves the rig's classes over JSON-RPC, `calls` at once on a connection, and one
-/// listener.
-struct Plan<'a> {
-    nodes: &'a [SocketAddr],
-    calls: u32,
-    deadline_ms: u32,
-    /// More of the pool's `rpc`, of the listener, and of the file.
-    rpc: &'a str,
-    listener: &'a str,
-    more: &'a str,
-}
-
-impl Default for Plan<'_> {
-    fn default() -> Self {
-        Plan {
-            nodes: &[],
-            calls: 1,
-            deadline_ms: 20_000,
-            rpc: "",
-            listener: "",
-            more: "",
-        }
-    }
-}
-
-impl Plan<'_> {
-    fn text(&self) -> String {
-        let Plan {
-            nodes,
-            calls,
-            deadline_ms,
-            rpc,
-            listener,
-            more,
-        } = self;
-        let list: Vec<String> = nodes.iter().map(|a| format!("\"{a}\"")).collect();
-        let class = |name: &str, effect: &str| {
-            format!(
-                "[[pool.class]]\nname = \"{name}\"\n{effect}\naim_ms = {deadline_ms}\ndeadline_ms = {deadline_ms}\n"
-            )
-        };
-        let method = |name: &str, class: &str, more: &str| {
-            format!("[[listener.method]]\nname = \"{name}\"\nclass = \"{class}\"\n{more}\n")
-        };
-        format!(
-            "[[pool]]\nname = \"p\"\nbackends = [{}]\nrpc = {{ calls = {calls}{rpc} }}\n{}{}{}\
-             [[route]]\nname = \"all\"\npool = \"p\"\n\
-             [[listener]]\nname = \"claims\"\nlisten = \"127.0.0.1:0\"\nprotocol = \"json-rpc\"\n{}{listener}\n{}{}{}{more}",
-            list.join(", "),
-            class("look", "effect = \"safe\""),
-            class(
-                "keep",
-                "effect = \"keyed\"\ngroup = \"all\"\nwindow_ms = 60000"
-            ),
-            class("once", "effect = \"unsafe\""),
-            if listener.contains("tenant") {
-                ""
-            } else {
-                "tenant = \"acme\"\n"
-            },
-            method("claims.look", "look", ""),
-            method("claims.keep", "keep", "key = \"/claim/id\""),
-            method("claims.once", "once", ""),
-        )
-    }
-}
-
 /// A measurement and no test: calls a second and CPU a call, one by one or pipelined towards nodes,
 /// beside HTTP into the same pool. Run it in release with `--ignored --nocapture`.
 #[tokio::test]
@@ -220,53 +154,6 @@
     println!("{begin} KiB at first, {peak} KiB with 1,000 connections of 32 calls, {out} at nodes");
 }
 
-struct Scene {
-    proxy: Proxy,
-    addr: SocketAddr,
-    admin: SocketAddr,
-    _discovery: Discovery,
-}
-
-async fn scene(plan: &Plan<'_>) -> Scene {
-    let discovery = Discovery::start(vec![]).await;
-    let file = write_file(".toml", &plan.text());
-    let mut config = discovery.config(settings());
-    config["admin"] = "127.0.0.1:0".into();
-    config["routes"] = file.to_str().expect("text").into();
-    config["probation_ms"] = 20.into();
-    let (proxy, listeners, admin) = Proxy::start_with_listeners(&config, &["claims"]).await;
-    Scene {
-        proxy,
-        addr: listeners[0],
-        admin,
-        _discovery: discovery,
-    }
-}
-
-impl Scene {
-    async fn raw(&self) -> Raw {
-        Raw::to(self.addr).await
-    }
-
-    async fn ask(&self, method: &str, path: &str, body: &str) -> (u16, String) {
-        ask(self.admin, method, path, body).await
-    }
-
-    async fn counts(&self) -> Value {
-        counts(self.admin).await
-    }
-}
-
-async fn nodes(names: &[&'static str]) -> (Arc<Script>, Vec<Node>, Vec<SocketAddr>) {
-    let script = Arc::new(Script::default());
-    let mut list = Vec::new();
-    for name in names {
-        list.push(Node::start(name, &script).await);
-    }
-    let addresses = list.iter().map(|n| n.addr).collect();
-    (script, list, addresses)
-}
-
 #[tokio::test]
 async fn a_call_passes_byte_for_byte() {
     let (script, _nodes, list) = nodes(&["a"]).await;
--- a/crates/heathroad/tests/rig/mod.rs
+++ b/crates/heathroad/tests/rig/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod chain;
 pub mod rpc;
+pub mod rpc_scene;
 pub mod scene;
 
 use bytes::Bytes;
