--- a/crates/heathroad/tests/jsonrpc.rs
+++ b/crates/heathroad/tests/jsonrpc.rs
@@ -3,11 +3,10 @@
 
 mod rig;
 
-use rig::rpc::{Act, Node, Raw, Script, call, code};
+use rig::rpc::{Act, Raw, Script, call, code};
 use rig::rpc_scene::{Plan, nodes, scene};
 use rig::*;
 use serde_json::{Value, json};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
 use std::time::{Duration, Instant};
