JSON-RPC: messages that lie whole in the buffer are decoded before anything else ends

What callers saw: notifications that are rejected at the limit of messages of a connection free their places without an answer to write. The task had stopped decoding by then and waited for the next event, with whole messages in the buffer. A call among them was not answered until another call ended; after 2 s it counted as one that had not arrived whole, the input ended and it was never answered; if the client closed its sending side, all that lay there was taken for one message ("expected JSON", id null); at a planned stop the connection closed over it.

Cause: "read on" was decided after the answers had freed capacity, "decode on" before, each with its own look at the clock, and the decoder was not known to hold whole messages.

Fix: finished answers are written before capacity is judged; both decisions use one time a turn; `MessageReader` knows whether it is drained, and nothing is read, timed or ended before it is.

--- a/crates/heathroad/src/frontend/jsonrpc/connection.rs
+++ b/crates/heathroad/src/frontend/jsonrpc/connection.rs
@@ -155,16 +155,14 @@
         mut stop: watch::Receiver<bool>,
     ) -> SessionEnd {
         loop {
-            self.reject_overdue_calls();
-            self.start_calls().await;
-            let listener = self.client.listener();
-            let (in_order, framing) = (listener.ordered_responses, listener.framing);
-            self.exchanges
-                .write_finished(in_order, framing, &mut self.output);
+            let now = Instant::now();
+            self.reject_overdue_calls(now);
+            self.start_calls(now).await;
+            self.write_finished_answers();
             if self.is_finished(reader) {
                 return SessionEnd::Finished;
             }
-            let wait = self.next_wait();
+            let wait = self.next_wait(now);
             idle.since.set(wait.is_idle.then_some(self.last_activity));
             tokio::select! {
                 biased;
@@ -211,20 +209,35 @@
         self.record_answer(finished);
     }
 
-    fn reject_overdue_calls(&mut self) {
-        while let Some((exchange, call)) = self.exchanges.take_overdue(Instant::now()) {
+    fn reject_overdue_calls(&mut self, now: Instant) {
+        while let Some((exchange, call)) = self.exchanges.take_overdue(now) {
             self.reject(exchange, call);
         }
     }
 
+    fn write_finished_answers(&mut self) {
+        let listener = self.client.listener();
+        let (in_order, framing) = (listener.ordered_responses, listener.framing);
+        self.exchanges
+            .write_finished(in_order, framing, &mut self.output);
+    }
+
+    /// Returns whether another message may be decoded, after the answers that free capacity.
+    fn has_message_capacity(&mut self) -> bool {
+        if !self.exchanges.has_capacity(self.client.listener()) {
+            self.write_finished_answers();
+        }
+        self.exchanges.has_capacity(self.client.listener())
+    }
+
     /// Starts waiting calls and decodes further messages while there is capacity.
-    async fn start_calls(&mut self) {
+    async fn start_calls(&mut self, now: Instant) {
         while self.output.len() < MAX_OUTPUT {
             let has_capacity =
                 self.calls.len() < self.client.listener().max_concurrent_calls as usize;
             self.unread_until = match has_capacity {
                 true => None,
-                false => self.unread_until.or(Some(Instant::now() + MAX_UNREAD_WAIT)),
+                false => self.unread_until.or(Some(now + MAX_UNREAD_WAIT)),
             };
             let batch_limit = self.concurrency.limit();
             if let Some((exchange, call)) = self.exchanges.take_next(batch_limit, has_capacity) {
@@ -232,11 +245,9 @@
                 continue;
             }
             // After the maximum wait, calls without capacity are read and rejected.
-            let is_crowded = self
-                .unread_until
-                .is_some_and(|until| until <= Instant::now());
+            let is_crowded = self.unread_until.is_some_and(|until| until <= now);
             let may_read = has_capacity || is_crowded;
-            if !may_read || !self.exchanges.has_capacity(self.client.listener()) {
+            if !may_read || !self.has_message_capacity() {
                 return;
             }
             match self.messages.next() {
@@ -310,11 +321,12 @@
             && !matches!(peek(reader.as_ref()), Ok(1..))
     }
 
-    /// Returns the conditions of the next wait.
-    fn next_wait(&mut self) -> Wait {
-        let now = Instant::now();
+    /// Returns the conditions of the next wait. Nothing is read before the complete messages that
+    /// were read are decoded.
+    fn next_wait(&mut self, now: Instant) -> Wait {
         let unread_until = self.unread_until.filter(|until| now < *until);
         let reads = !self.has_input_ended
+            && self.messages.is_drained()
             && unread_until.is_none()
             && self.exchanges.has_capacity(self.client.listener())
             && self.output.len() < MAX_OUTPUT;
@@ -367,6 +379,7 @@
 
     fn record_read(&mut self) {
         self.has_read = true;
+        self.messages.record_read();
         self.last_activity = Instant::now();
         self.arrival = stall_detector::earliest_arrival(self.last_activity);
     }
--- a/crates/heathroad/src/frontend/jsonrpc/message_reader.rs
+++ b/crates/heathroad/src/frontend/jsonrpc/message_reader.rs
@@ -49,6 +49,9 @@
 /// Decodes a connection's input.
 pub(super) struct MessageReader {
     decoder: Decoder,
+    /// Whether all complete messages were returned, so that the buffer holds at most the beginning
+    /// of one.
+    is_drained: bool,
     /// Number of decoded messages.
     messages: u64,
     /// When the last message was decoded; before the first one, when the connection was accepted.
@@ -79,6 +82,7 @@
         };
         MessageReader {
             decoder: Decoder::new(listener.framing, limits),
+            is_drained: true,
             messages: 0,
             last_message_at: now,
             started_at: None,
@@ -90,9 +94,20 @@
         self.decoder.buffer()
     }
 
+    /// Records that bytes were read into the buffer.
+    pub(super) fn record_read(&mut self) {
+        self.is_drained = false;
+    }
+
+    /// Returns whether all complete messages that were read have been returned.
+    pub(super) fn is_drained(&self) -> bool {
+        self.is_drained
+    }
+
     /// Returns the next complete message, if it has arrived.
     pub(super) fn next(&mut self) -> Result<Option<Bytes>, FramingError> {
         let text = self.decoder.next_text()?;
+        self.is_drained = text.is_none();
         if text.is_some() {
             self.messages += 1;
             self.last_message_at = Instant::now();
@@ -101,7 +116,8 @@
         Ok(text)
     }
 
-    /// Returns the last message at the end of input, which has no terminator.
+    /// Returns the last message at the end of input, which has no terminator. Requires that all
+    /// complete messages were returned.
     pub(super) fn finish(&mut self) -> Option<Bytes> {
         self.decoder.finish()
     }
--- a/crates/heathroad/tests/jsonrpc_input.rs
+++ b/crates/heathroad/tests/jsonrpc_input.rs
@@ -3,11 +3,16 @@
 
 mod rig;
 
-use rig::rpc::call;
+use rig::rpc::{Act, Raw, call, code};
 use rig::rpc_scene::{Plan, nodes, scene};
+use serde_json::Value;
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::sync::Notify;
 
+const REJECTED: i64 = -32001;
+const PARSE_ERROR: i64 = -32700;
 /// The time limit of one message.
 const MESSAGE_TIME: Duration = Duration::from_secs(2);
 /// How long the calls of a connection follow each other: several time limits would have passed.
@@ -23,6 +28,10 @@
     }
 }
 
+fn notification(what: &str) -> String {
+    format!(r#"{{"jsonrpc":"2.0","method":"claims.look","params":{{"claim":{{"id":"{what}"}}}}}}"#)
+}
+
 /// Returns the ids of the results in a text, whatever its framing.
 fn result_ids(text: &str) -> BTreeSet<usize> {
     let results = text.split("\"result\":\"a\",\"id\":").skip(1);
@@ -75,3 +84,112 @@
     let [lines, headers, concatenated] = streams;
     tokio::join!(lines, headers, concatenated);
 }
+
+/// Sends five notifications and a call in one write while the only call that may run is held, so
+/// that they are rejected at the limit of messages, two at a time.
+async fn crowded(raw: &mut Raw) {
+    let texts = ["n1", "n2", "n3", "n4", "n5"].map(|what| notification(what) + "\n");
+    let text = call("claims.look", "behind", "2");
+    raw.write(format!("{}{text}\n", texts.concat()).as_bytes())
+        .await;
+}
+
+/// Guards against messages that have arrived whole and are counted as incomplete: behind
+/// notifications rejected at the limit of messages, a call waited in the buffer for the time
+/// limit and was never answered.
+#[tokio::test]
+async fn whole_messages_behind_rejected_notifications_are_answered() {
+    let (script, _nodes, list) = nodes(&["a"]).await;
+    let s = scene(&Plan {
+        nodes: &list,
+        listener: "calls = 1",
+        ..Plan::default()
+    })
+    .await;
+    let held = Arc::new(Notify::new());
+    script.give([Act::Hold(held.clone())]);
+    let mut raw = s.raw().await;
+    raw.send(&call("claims.look", "held", "1")).await;
+    script.came(1).await;
+    let begun = Instant::now();
+    crowded(&mut raw).await;
+    let answer = raw.next().await;
+    assert_eq!(
+        (code(&answer), &answer["id"]),
+        (REJECTED, &Value::from(2)),
+        "{answer}"
+    );
+    assert!(begun.elapsed() < MESSAGE_TIME, "{:?}", begun.elapsed());
+    // The limit of an incomplete message still ends the input.
+    raw.write(b"{\"half\":").await;
+    tokio::time::sleep(MESSAGE_TIME + MESSAGE_TIME / 2).await;
+    held.notify_one();
+    assert_eq!(raw.next().await["result"], "a");
+    assert_eq!(code(&raw.next().await), PARSE_ERROR);
+    assert_eq!(raw.rest().await, "");
+}
+
+/// Guards against an end of input that joins the messages before it: the client closes its sending
+/// side behind messages that lie in the buffer, and they were taken for one.
+#[tokio::test]
+async fn whole_messages_before_the_end_of_input_stay_apart() {
+    let (script, _nodes, list) = nodes(&["a"]).await;
+    let s = scene(&Plan {
+        nodes: &list,
+        listener: "calls = 1",
+        ..Plan::default()
+    })
+    .await;
+    let held = Arc::new(Notify::new());
+    script.give([Act::Hold(held.clone())]);
+    let mut raw = s.raw().await;
+    raw.send(&call("claims.look", "held", "1")).await;
+    script.came(1).await;
+    crowded(&mut raw).await;
+    raw.shut().await;
+    let answer = raw.next().await;
+    assert_eq!(
+        (code(&answer), &answer["id"]),
+        (REJECTED, &Value::from(2)),
+        "{answer}"
+    );
+    held.notify_one();
+    assert_eq!(raw.next().await["id"], 1);
+    assert_eq!(raw.rest().await, "");
+}
+
+/// Guards against a planned stop that closes over messages which lie in the buffer: behind
+/// notifications rejected at the limit of messages, a call was read and never answered.
+#[tokio::test]
+async fn whole_messages_at_a_planned_stop_are_answered() {
+    let (script, _nodes, list) = nodes(&["a"]).await;
+    let mut s = scene(&Plan {
+        nodes: &list,
+        listener: "calls = 1",
+        ..Plan::default()
+    })
+    .await;
+    let mut resting = s.raw().await;
+    let text = call("claims.look", "resting", "1");
+    assert_eq!(resting.call(&text).await["result"], "a");
+    let held = Arc::new(Notify::new());
+    script.give([Act::Hold(held.clone())]);
+    let mut raw = s.raw().await;
+    raw.send(&call("claims.look", "held", "1")).await;
+    script.came(2).await;
+    s.proxy.terminate().await;
+    assert_eq!(resting.line().await, "", "the stop has begun");
+    crowded(&mut raw).await;
+    held.notify_one();
+    let mut answers = [raw.next().await, raw.next().await];
+    answers.sort_by_key(|answer| answer["id"].as_u64());
+    assert_eq!(answers[0]["result"], "a");
+    assert_eq!(
+        (code(&answers[1]), &answers[1]["id"]),
+        (REJECTED, &Value::from(2)),
+        "{}",
+        answers[1]
+    );
+    assert_eq!(raw.rest().await, "");
+    assert!(s.proxy.ended().await.success());
+}
