HTTP: requests that were read ahead are timed from their own arrival

What callers saw: a client that pipelines requests, so that some always wait behind the one in work, got 504 for requests that had just come, once one deadline had passed since its first. Clients that send one request at a time never met this.

Cause: the read-ahead buffer kept one arrival time, that of its first byte, until it was empty. While more was read ahead than Hyper takes at once, it never was, and each request that went through it counted from the first one's arrival.

Fix: the buffer keeps its bytes in segments, each with its arrival, and a read takes from one segment. 256 segments at most; beyond that bytes count as arrived with those before them, which can only shorten their time.

--- a/crates/heathroad/src/frontend/read_ahead.rs
+++ b/crates/heathroad/src/frontend/read_ahead.rs
@@ -10,6 +10,7 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
@@ -23,14 +24,59 @@
 const MAX_READ_AHEAD: usize = 80 * 1024;
 /// Size of one read, in bytes.
 const READ_SIZE: usize = 4 * 1024;
+/// Maximum number of arrival times per connection. Beyond it, bytes count as arrived with those
+/// before them.
+const MAX_SEGMENTS: usize = 256;
+
+/// Buffered bytes with the same arrival time.
+struct Segment {
+    length: usize,
+    /// The earliest time at which the bytes can have arrived.
+    arrival: Instant,
+}
+
+/// Bytes that were read ahead, in segments.
+#[derive(Default)]
+struct ReadAheadBuffer {
+    bytes: BytesMut,
+    segments: VecDeque<Segment>,
+}
+
+impl ReadAheadBuffer {
+    fn append(&mut self, bytes: &[u8], arrival: Instant) {
+        self.bytes.extend_from_slice(bytes);
+        let length = bytes.len();
+        let is_full = self.segments.len() >= MAX_SEGMENTS;
+        let last = self.segments.back_mut();
+        match last.filter(|last| is_full || last.arrival == arrival) {
+            Some(last) => last.length += length,
+            None => self.segments.push_back(Segment { length, arrival }),
+        }
+    }
+
+    /// Moves bytes of the first segment to `buf`; returns their arrival time, or `None` if there
+    /// are none.
+    fn read(&mut self, buf: &mut ReadBufCursor<'_>) -> Option<Instant> {
+        let first = self.segments.front_mut()?;
+        let (length, arrival) = (first.length.min(buf.remaining()), first.arrival);
+        buf.put_slice(&self.bytes[..length]);
+        self.bytes.advance(length);
+        first.length -= length;
+        if first.length == 0 {
+            self.segments.pop_front();
+        }
+        if self.segments.is_empty() {
+            *self = ReadAheadBuffer::default();
+        }
+        Some(arrival)
+    }
+}
 
 /// A client's stream with a read-ahead buffer. Hyper and the disconnect detection share it within
 /// the connection's task.
 pub struct ReadAheadStream {
     io: RefCell<TokioIo<TcpStream>>,
-    buffer: RefCell<BytesMut>,
-    /// The earliest time at which the first buffered byte can have arrived.
-    buffered_arrival: Cell<Option<Instant>>,
+    buffer: RefCell<ReadAheadBuffer>,
     /// The earliest arrival time of Hyper's last read, if the buffer served it.
     last_read_arrival: Cell<Option<Instant>>,
     reservation: RefCell<BufferReservation>,
@@ -43,7 +89,6 @@
         ReadAheadStream {
             io: RefCell::new(TokioIo::new(stream)),
             buffer: RefCell::default(),
-            buffered_arrival: Cell::default(),
             last_read_arrival: Cell::default(),
             reservation: RefCell::new(BufferReservation::new(table)),
             has_disconnected: Cell::new(false),
@@ -86,12 +131,12 @@
     fn poll_read_ahead(&self, cx: &mut Context<'_>, limit: usize) -> Poll<()> {
         let io = self.io.borrow();
         let buffer = &mut *self.buffer.borrow_mut();
-        let is_full = buffer.len() >= MAX_READ_AHEAD;
+        let is_full = buffer.bytes.len() >= MAX_READ_AHEAD;
         if is_full || !self.reservation.borrow_mut().try_grow(READ_SIZE, limit) {
             return Poll::Pending;
         }
         if io.inner().poll_read_ready(cx).is_pending() {
-            self.reserve_buffered(buffer.len());
+            self.reserve_buffered(buffer.bytes.len());
             return Poll::Pending;
         }
         // Reads into the stack: most reads return no data, and then nothing is allocated.
@@ -99,15 +144,13 @@
         match io.inner().try_read(&mut bytes) {
             Ok(read @ 1..) => {
                 runtime_accounting::read();
-                buffer.extend_from_slice(&bytes[..read]);
-                let now = || stall_detector::earliest_arrival(Instant::now());
-                let arrival = self.buffered_arrival.get().unwrap_or_else(now);
-                self.buffered_arrival.set(Some(arrival));
+                let arrival = stall_detector::earliest_arrival(Instant::now());
+                buffer.append(&bytes[..read], arrival);
             }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
             Ok(0) | Err(_) => self.has_disconnected.set(true),
         }
-        self.reserve_buffered(buffer.len());
+        self.reserve_buffered(buffer.bytes.len());
         Poll::Ready(())
     }
 
@@ -116,23 +159,13 @@
         self.reservation.borrow_mut().shrink_to(bytes);
     }
 
-    /// Moves buffered bytes to `buf`; returns false if there are none.
+    /// Moves buffered bytes with one arrival time to `buf`; returns false if there are none.
     fn read_buffered(&self, buf: &mut ReadBufCursor<'_>) -> bool {
         let buffer = &mut *self.buffer.borrow_mut();
-        self.last_read_arrival.set(None);
-        if buffer.is_empty() {
-            return false;
-        }
-        self.last_read_arrival.set(self.buffered_arrival.get());
-        let length = buffer.len().min(buf.remaining());
-        buf.put_slice(&buffer[..length]);
-        buffer.advance(length);
-        if buffer.is_empty() {
-            *buffer = BytesMut::new();
-            self.buffered_arrival.set(None);
-        }
-        self.reserve_buffered(buffer.len());
-        true
+        let arrival = buffer.read(buf);
+        self.last_read_arrival.set(arrival);
+        self.reserve_buffered(buffer.bytes.len());
+        arrival.is_some()
     }
 
     /// Calls `operation` with the underlying TCP stream.
@@ -143,7 +176,7 @@
 
 impl Unread for ReadAheadStream {
     fn has_unread(&self) -> bool {
-        !self.buffer.borrow().is_empty() || self.io.borrow().has_unread()
+        !self.buffer.borrow().bytes.is_empty() || self.io.borrow().has_unread()
     }
 }
 
