--- a/crates/heathroad-balancer/src/balancer.rs
+++ b/crates/heathroad-balancer/src/balancer.rs
@@ -21,7 +21,8 @@
 const TIMER_MAINTENANCE: u64 = 0;
 /// The token of the endpoint poll timer.
 pub(crate) const TIMER_ENDPOINT_POLL: u64 = 1;
-/// Maintenance period in ticks; bounds how late a queued request expires.
+/// Maintenance period in ticks; bounds how late a queued request expires, and is long enough to be
+/// cheap.
 const MAINTENANCE_TICKS: f64 = 10.0;
 /// Time in which the peak of in-flight attempts decays to 0, in ms.
 const PEAK_DECAY_MS: f64 = 5000.0;
--- a/crates/heathroad-balancer/src/dispatch.rs
+++ b/crates/heathroad-balancer/src/dispatch.rs
@@ -102,7 +102,8 @@
         attempt.never_executed = result.outcome.never_executed();
         // A backend may still be executing an attempt that timed out or was cancelled. If its
         // completion can be observed, the attempt counts against the limit until then; otherwise
-        // clients that time out and retry would overload the backends with uncounted work.
+        // clients that time out and retry would overload the backends with uncounted work. So would
+        // upstream proxies that restart or lose their connections.
         // `stop_counting_long_attempts` bounds this for backends that never report completion.
         attempt.is_abandoned = self.settings.limits.late_completions
             && matches!(result.outcome, Outcome::Timeout | Outcome::Cancelled);
--- a/crates/heathroad-balancer/src/policy/admission.rs
+++ b/crates/heathroad-balancer/src/policy/admission.rs
@@ -121,7 +121,7 @@
     }
 
     /// Returns whether a request with a retry budget has too little time left for a response, even
-    /// from an idle backend.
+    /// from an idle backend: its work would be wasted.
     fn cannot_meet_deadline(&self, now: f64, arrival: &RequestArrival, class: usize) -> bool {
         let latency = &self.limiter.classes[class];
         let time_left = arrival.deadline - now;
--- a/crates/heathroad-balancer/src/policy/limiter.rs
+++ b/crates/heathroad-balancer/src/policy/limiter.rs
@@ -13,11 +13,11 @@
 const MAX_MEAN_SAMPLES: f64 = 100.0;
 /// Maximum ratio of one latency to the mean; outliers of heavy-tailed work don't indicate queueing.
 pub(crate) const MAX_LATENCY_RATIO: f64 = 6.0;
-/// Share of drops above which the limit is reduced.
+/// Share of drops above which the limit is reduced; fewer come from single bad selections.
 const MAX_DROP_SHARE: f64 = 0.05;
 /// Minimum number of results in a window.
 pub(crate) const MIN_WINDOW_RESPONSES: f64 = 10.0;
-/// Smallest factor applied to the limit in one window.
+/// Smallest factor applied to the limit in one window, whose result may be chance.
 const MIN_DECREASE_FACTOR: f64 = 0.7;
 /// Largest factor applied to the limit in one window.
 const MAX_INCREASE_FACTOR: f64 = 1.5;
--- a/crates/heathroad-balancer/src/policy/ordering.rs
+++ b/crates/heathroad-balancer/src/policy/ordering.rs
@@ -49,7 +49,8 @@
     }
 
     /// Removes a request from the queue of its key, and releases the next one if it was the first.
-    /// Must not be called while the request has an attempt in flight.
+    /// Must not be called while the request has an attempt in flight: only the first request of a
+    /// key can have been sent, and its position is kept until all its attempts have ended.
     pub(crate) fn leave_key_queue(&mut self, now: f64, key: u64, id: RequestId) {
         let Some(queue) = self.key_queues.get_mut(&key) else {
             return;
--- a/crates/heathroad-balancer/src/policy/outlier.rs
+++ b/crates/heathroad-balancer/src/policy/outlier.rs
@@ -17,7 +17,8 @@
 const TIER_ERROR_STEP: f64 = 0.02;
 /// Minimum error rate at which a backend is ejected.
 const EJECTION_ERROR_RATE: f64 = 0.35;
-/// Minimum error rate at which a backend is ejected, as a multiple of the tier's error rate.
+/// Minimum error rate at which a backend is ejected, as a multiple of the tier's error rate; below
+/// it the cause is likely shared.
 const EJECTION_TIER_MULTIPLE: f64 = 3.0;
 /// Error rate below which an ejected backend may return.
 const RETURN_ERROR_RATE: f64 = 0.15;
@@ -37,11 +38,13 @@
 const MAX_DOUBLINGS: u32 = 3;
 /// Maximum share of the ready backends that may be ejected; beyond it the cause is likely shared.
 const MAX_EJECTED_SHARE: f64 = 0.5;
-/// Number of missed responses, by Little's law, above which a backend may count as hung.
+/// Number of missed responses, by Little's law, above which a backend may count as hung; fewer may
+/// be a pause.
 const HANG_MISSED_RESPONSES: f64 = 8.0;
 /// Time without a response, in mean latencies, above which a backend may count as hung.
 const HANG_MEAN_LATENCIES: f64 = 2.0;
-/// A backend is hung only if another one has responded within this share of its silence.
+/// A backend is hung only if another one has responded within this share of its silence; otherwise
+/// the silence is shared.
 const OTHERS_SILENCE_SHARE: f64 = 0.25;
 
 impl Backend {
--- a/crates/heathroad-balancer/src/policy/subset.rs
+++ b/crates/heathroad-balancer/src/policy/subset.rs
@@ -4,9 +4,10 @@
 use crate::api::BackendId;
 use crate::balancer::Balancer;
 
-/// Minimum number of members, so that selection has a choice when some are ejected.
+/// Minimum number of members, so that selection can compare two when one or two are ejected.
 const MIN_MEMBERS: f64 = 5.0;
-/// Minimum number of replicas that send to a backend, on average.
+/// Minimum number of replicas that send to a backend, on average, so that no backend depends on a
+/// single replica.
 const MIN_OVERLAP: f64 = 2.0;
 /// Attempts in flight per member above which the subset widens.
 const ATTEMPTS_PER_MEMBER: f64 = 1.0;
--- a/crates/heathroad-balancer/src/policy/zone_spillover.rs
+++ b/crates/heathroad-balancer/src/policy/zone_spillover.rs
@@ -7,7 +7,8 @@
 use crate::api::BackendId;
 use crate::balancer::Balancer;
 
-/// Price of crossing zones up to which all zones are treated as one.
+/// Price of crossing zones up to which all zones are treated as one, since pooling them is worth
+/// more.
 const NEGLIGIBLE_PRICE: f64 = 0.01;
 /// Excess of the mean latency that equals a price of 1, in latency objectives. Tail latencies grow
 /// by far more than the mean.
--- a/crates/heathroad-membership/src/protocol/dissemination.rs
+++ b/crates/heathroad-membership/src/protocol/dissemination.rs
@@ -10,7 +10,9 @@
 use crate::{MemberId, Millis};
 use std::collections::BTreeMap;
 
-/// Each member sends an update this many times the base-2 logarithm of the fleet's size.
+/// Each member sends an update this many times the base-2 logarithm of the fleet's size. With
+/// fewer, the last of several hundred members gets it only after many seconds, or later if messages
+/// are lost.
 const TRANSMISSIONS_FACTOR: f64 = 3.0;
 /// The maximum number of updates selected for a datagram, which exceeds the number that fits.
 const MAX_SELECTED: usize = 16;
--- a/crates/heathroad-membership/src/protocol/version_agreement.rs
+++ b/crates/heathroad-membership/src/protocol/version_agreement.rs
@@ -8,7 +8,7 @@
 use crate::{MemberId, Millis};
 use std::collections::{BTreeMap, VecDeque};
 
-/// The maximum number of versions known in full.
+/// The maximum number of versions known in full; each takes about 200 bytes.
 const MAX_KNOWN_VERSIONS: usize = 512;
 /// The maximum number of pending confirmations; the oldest are dropped first.
 const MAX_PENDING_CONFIRMATIONS: usize = 8;
--- a/crates/heathroad/src/backend/attempt.rs
+++ b/crates/heathroad/src/backend/attempt.rs
@@ -17,7 +17,8 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// How long the response to an abandoned attempt is awaited, to reuse its connection.
+/// How long the response to an abandoned attempt is awaited, to reuse its connection; longer than
+/// most work takes.
 const ABANDONED_RESPONSE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// The degree to which an attempt is cancelled.
--- a/crates/heathroad/src/backend/http/response.rs
+++ b/crates/heathroad/src/backend/http/response.rs
@@ -99,7 +99,8 @@
     })
 }
 
-/// Reads a body; returns `None` if it is truncated or too long.
+/// Reads a body; returns `None` if it is truncated or too long, since the request may have been
+/// executed then.
 async fn read_body(mut body: Incoming) -> Option<Bytes> {
     let (mut first, mut joined) = (Bytes::new(), BytesMut::new());
     while let Some(frame) = timeout(BODY_READ_TIMEOUT, body.frame()).await.ok()? {
--- a/crates/heathroad/src/backend/outcome.rs
+++ b/crates/heathroad/src/backend/outcome.rs
@@ -27,7 +27,7 @@
             AttemptEnd::Served(_) => Outcome::Success,
             AttemptEnd::ServedWithError(_) => Outcome::Error,
             // An invalid request and a notification without a response say nothing about the
-            // backend's health.
+            // backend's health; another backend would reject the request too.
             AttemptEnd::Rejected | AttemptEnd::NotificationSent => Outcome::Cancelled,
             AttemptEnd::NotServed(outcome) => *outcome,
         }
--- a/crates/heathroad/src/backend/pool.rs
+++ b/crates/heathroad/src/backend/pool.rs
@@ -218,7 +218,7 @@
     }
 
     /// Acquires a connection slot. If none is free, evicts an idle connection or ends the wait for
-    /// an abandoned attempt, and waits for the slot.
+    /// an abandoned attempt, and waits for the slot, since the request would be rejected otherwise.
     async fn acquire_slot(&self) -> Result<ConnectionSlot, Outcome> {
         let slot = match self.slots.clone().try_acquire_owned() {
             Ok(slot) => slot,
--- a/crates/heathroad/src/discovery/mod.rs
+++ b/crates/heathroad/src/discovery/mod.rs
@@ -18,7 +18,7 @@
 use tokio::time::Instant;
 
 /// The pause after a response without news, so that a registry that doesn't hold watch requests is
-/// not polled in a busy loop.
+/// not polled in a busy loop. Discovery keeps a watch for 200 ms between two requests.
 const UNCHANGED_LIST_PAUSE: Duration = Duration::from_millis(100);
 
 /// An event of an endpoint list.
--- a/crates/heathroad/src/frontend/read_ahead.rs
+++ b/crates/heathroad/src/frontend/read_ahead.rs
@@ -20,7 +20,8 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-/// Maximum read-ahead per connection, in bytes; further data stays in the socket buffer.
+/// Maximum read-ahead per connection, in bytes; further data stays in the socket buffer. Clients
+/// are expected to send one request at a time.
 const MAX_READ_AHEAD: usize = 80 * 1024;
 /// Size of one read, in bytes.
 const READ_SIZE: usize = 4 * 1024;
