JSON-RPC: connections to backends are kept by port and framing, not by process alone

Cause: pools share the connections of a process, and the look-up asked for the process alone. The check before a commit had the same mistake (the claim had read it, no run showed it): a connection of another pool counted as connected.

Fix: connections are kept by `ConnectionKey`: the process, the address with the pool's port, and the framing. A call can't find one of another kind. What ends all connections of a process (a drain, a removal) looks through the keys of that process.

Two unit tests over loopback sockets, for the port with the check before a commit, and for the framing.

--- a/crates/heathroad-jsonrpc/src/framing.rs
+++ b/crates/heathroad-jsonrpc/src/framing.rs
@@ -4,7 +4,7 @@
 use serde::Serialize;
 
 /// How JSON texts are delimited in a stream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default, Serialize)]
 pub enum Framing {
     /// One text per line, terminated by a line feed. Empty lines are ignored.
     #[default]
--- a/crates/heathroad/src/backend/jsonrpc/io.rs
+++ b/crates/heathroad/src/backend/jsonrpc/io.rs
@@ -1,5 +1,6 @@
 //! The task of a JSON-RPC connection, which does its I/O.
 
+use super::ConnectionKey;
 use super::connection::Connection;
 use crate::backend::pool::{ConnectionSlot, Pool};
 use crate::backend::target::Target;
@@ -24,13 +25,13 @@
     connection: Rc<Connection>,
     target: Rc<Target>,
     mut stream: TcpStream,
-    framing: Framing,
+    key: ConnectionKey,
     _slot: ConnectionSlot,
 ) {
     let is_drained = || pool.is_past_drain_grace(&target);
-    run_io(&connection, &mut stream, framing, is_drained).await;
+    run_io(&connection, &mut stream, key.framing, is_drained).await;
     connection.end();
-    pool.remove_jsonrpc(&target, &connection);
+    pool.remove_jsonrpc(&key, &connection);
 }
 
 /// Reads and writes until the connection ends.
--- a/crates/heathroad/src/backend/jsonrpc/mod.rs
+++ b/crates/heathroad/src/backend/jsonrpc/mod.rs
@@ -49,6 +49,26 @@
     }
 }
 
+/// What identifies the far end of a connection and the form of its messages. Pools of the same
+/// process may differ in port and framing, and share connections only where they do not.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(super) struct ConnectionKey {
+    /// The id of the target.
+    pub(super) target_id: u64,
+    address: SocketAddr,
+    framing: Framing,
+}
+
+impl ConnectionKey {
+    fn new(target: &Target, transport: &Transport) -> ConnectionKey {
+        ConnectionKey {
+            target_id: target.id,
+            address: transport.address(target),
+            framing: transport.framing,
+        }
+    }
+}
+
 /// The content of a JSON-RPC call, which is the same for all its attempts.
 pub struct Call {
     /// The method name as a quoted JSON string.
@@ -62,17 +82,23 @@
 }
 
 impl Pool {
-    /// Returns the least loaded connection to a process that accepts another call.
-    pub(super) fn find_jsonrpc(&self, target: &Target, max_calls: usize) -> Option<Rc<Connection>> {
+    /// Returns the least loaded connection to a process, by a transport, that accepts another call.
+    pub(super) fn find_jsonrpc(
+        &self,
+        target: &Target,
+        transport: &Transport,
+    ) -> Option<Rc<Connection>> {
         let (connections, now) = (self.jsonrpc.borrow(), Instant::now());
         let max_age = self.max_idle_age();
         let load = |connection: &Rc<Connection>| {
             let is_aged = connection
                 .idle_time()
                 .is_some_and(|idle_time| idle_time >= max_age);
-            connection.load(max_calls, now).filter(|_| !is_aged)
+            let load = connection.load(transport.max_calls, now);
+            load.filter(|_| !is_aged)
         };
-        let candidates = connections.get(&target.id)?.iter().rev();
+        let key = ConnectionKey::new(target, transport);
+        let candidates = connections.get(&key)?.iter().rev();
         let available = candidates.filter_map(|connection| Some((load(connection)?, connection)));
         let (_, least_loaded) = available.min_by_key(|(load, _)| *load)?;
         Some(least_loaded.clone())
@@ -84,33 +110,23 @@
         target: &Rc<Target>,
         transport: Transport,
     ) -> Result<Rc<Connection>, Outcome> {
-        let (stream, slot) = self.connect(transport.address(target)).await?;
+        let key = ConnectionKey::new(target, &transport);
+        let (stream, slot) = self.connect(key.address).await?;
         let connection = Rc::new(Connection::new());
         let mut connections = self.jsonrpc.borrow_mut();
-        connections
-            .entry(target.id)
-            .or_default()
-            .push(connection.clone());
+        connections.entry(key).or_default().push(connection.clone());
         let (pool, target) = (self.clone(), target.clone());
-        let framing = transport.framing;
-        spawn_local(io::run(
-            pool,
-            connection.clone(),
-            target,
-            stream,
-            framing,
-            slot,
-        ));
+        spawn_local(io::run(pool, connection.clone(), target, stream, key, slot));
         Ok(connection)
     }
 
     /// Removes a connection that has ended.
-    fn remove_jsonrpc(&self, target: &Target, ended: &Rc<Connection>) {
+    fn remove_jsonrpc(&self, key: &ConnectionKey, ended: &Rc<Connection>) {
         let mut connections = self.jsonrpc.borrow_mut();
-        if let Some(target_connections) = connections.get_mut(&target.id) {
-            target_connections.retain(|connection| !Rc::ptr_eq(connection, ended));
-            if target_connections.is_empty() {
-                connections.remove(&target.id);
+        if let Some(same_key) = connections.get_mut(key) {
+            same_key.retain(|connection| !Rc::ptr_eq(connection, ended));
+            if same_key.is_empty() {
+                connections.remove(key);
             }
         }
     }
@@ -152,7 +168,7 @@
     call: &Call,
     target: &Rc<Target>,
 ) -> Result<(Rc<Connection>, bool), Outcome> {
-    match pool.find_jsonrpc(target, call.transport.max_calls) {
+    match pool.find_jsonrpc(target, &call.transport) {
         Some(connection) => Ok((connection, true)),
         None => Ok((pool.connect_jsonrpc(target, call.transport).await?, false)),
     }
--- a/crates/heathroad/src/backend/mod.rs
+++ b/crates/heathroad/src/backend/mod.rs
@@ -74,3 +74,7 @@
 #[cfg(test)]
 #[path = "../../tests/unit/backend_races.rs"]
 mod races;
+
+#[cfg(test)]
+#[path = "../../tests/unit/backend_jsonrpc.rs"]
+mod jsonrpc_tests;
--- a/crates/heathroad/src/backend/pool.rs
+++ b/crates/heathroad/src/backend/pool.rs
@@ -52,8 +52,8 @@
     targets: RefCell<HashMap<(String, SocketAddr, u64), Weak<Target>>>,
     /// Idle HTTP connections by target id, longest idle first.
     pub(super) idle_http: RefCell<FxHashMap<u64, Vec<http::IdleConnection>>>,
-    /// All JSON-RPC connections by target id, including those in use.
-    pub(super) jsonrpc: RefCell<FxHashMap<u64, Vec<Rc<jsonrpc::Connection>>>>,
+    /// All JSON-RPC connections by their far end and framing, including those in use.
+    pub(super) jsonrpc: RefCell<FxHashMap<jsonrpc::ConnectionKey, Vec<Rc<jsonrpc::Connection>>>>,
     slots: Arc<Semaphore>,
     abandoned_attempts: Rc<Cell<usize>>,
     /// Maximum number of abandoned attempts whose responses are awaited.
@@ -113,7 +113,7 @@
         transport: Option<jsonrpc::Transport>,
     ) -> bool {
         if let Some(transport) = transport {
-            return self.find_jsonrpc(target, transport.max_calls).is_some()
+            return self.find_jsonrpc(target, &transport).is_some()
                 || self.connect_jsonrpc(target, transport).await.is_ok();
         }
         if self
@@ -136,9 +136,11 @@
     /// Closes the idle connections to a process.
     pub fn close_idle_connections(&self, target: &Target) {
         self.idle_http.borrow_mut().remove(&target.id);
-        if let Some(connections) = self.jsonrpc.borrow().get(&target.id) {
-            connections.iter().for_each(|connection| connection.close());
-        }
+        let jsonrpc = self.jsonrpc.borrow();
+        let to_target = jsonrpc.iter().filter(|(key, _)| key.target_id == target.id);
+        to_target
+            .flat_map(|(_, connections)| connections)
+            .for_each(|connection| connection.close());
     }
 
     /// Closes connections that reached the maximum idle age, and those to unused processes.
@@ -176,7 +178,9 @@
             .borrow_mut()
             .retain(|id, _| used.contains(id));
         let jsonrpc = self.jsonrpc.borrow();
-        let unused = jsonrpc.iter().filter(|(id, _)| !used.contains(id));
+        let unused = jsonrpc
+            .iter()
+            .filter(|(key, _)| !used.contains(&key.target_id));
         unused
             .flat_map(|(_, connections)| connections)
             .for_each(|connection| connection.close());
--- a/crates/heathroad/tests/unit/backend_races.rs
+++ b/crates/heathroad/tests/unit/backend_races.rs
@@ -13,14 +13,14 @@
 use tokio::sync::oneshot;
 use tokio::task::{JoinHandle, LocalSet, spawn_local, yield_now};
 
-const LONG: Duration = Duration::from_secs(20);
+pub(super) const LONG: Duration = Duration::from_secs(20);
 
 /// Waits for what must happen.
-async fn soon<T>(what: impl Future<Output = T>) -> T {
+pub(super) async fn soon<T>(what: impl Future<Output = T>) -> T {
     tokio::time::timeout(LONG, what).await.expect("it comes")
 }
 
-fn pool(connections: usize, may_duplicate: bool) -> Rc<Pool> {
+pub(super) fn pool(connections: usize, may_duplicate: bool) -> Rc<Pool> {
     let limits = Limits {
         connections,
         connect_timeout: LONG,
