JSON-RPC: nothing more is written to a connection on which a call was given up half-way

Cause: "not sent" was claimed since an incomplete message never runs, but abandoning the call closed the connection only when no other call was pending on it; until then the message in writing went on. A message taken for writing, with nothing written, was not removed either, and bytes were chosen before the stream could take them.

Fix: a call that is abandoned half-way ends the connection's writes for good. Queued calls end as never written and go over other connections; calls whose responses are awaited keep the connection until they end. The bytes are chosen and recorded in the poll that writes them.

--- a/crates/heathroad/src/backend/jsonrpc/connection.rs
+++ b/crates/heathroad/src/backend/jsonrpc/connection.rs
@@ -74,6 +74,9 @@
     last_id: u64,
     backend_calls: usize,
     is_closing: bool,
+    /// A message was abandoned when it was partially written. Nothing more may be written: the
+    /// backend would receive the rest of the message, or take the next one for it.
+    is_write_broken: bool,
     has_ended: bool,
 }
 
@@ -181,29 +184,48 @@
         }
     }
 
-    /// Abandons a call whose response is no longer needed.
+    /// Abandons a call whose response is no longer needed. Nothing more of it is written, unless it
+    /// lacks the line terminator alone.
     fn abandon(&self, id: u64) {
         let state = &mut *self.state.borrow_mut();
         let Some(call) = state.pending.remove(&id) else {
             return;
         };
         self.idle_since.set(Instant::now());
-        if call.control.written() == Written::None {
-            state.queue.retain(|frame| frame.id != id);
-            return;
+        match call.control.written() {
+            Written::None => {
+                state.queue.retain(|frame| frame.id != id);
+                state.writing.take_if(|frame| frame.id == id);
+                return;
+            }
+            Written::Partial => self.end_writes(state),
+            Written::Complete => {
+                state.abandoned.insert(id);
+            }
         }
         // The connection accepts no new calls, since the response may still arrive or the
-        // connection may be broken. It closes once no calls are pending, even if the abandoned call
-        // is not fully written.
-        state.abandoned.insert(id);
+        // connection may be broken. It closes once no calls are pending.
         state.is_closing = true;
         self.wake.notify_one();
     }
 
+    /// Ends the writing of messages for good. Queued calls end as never written.
+    fn end_writes(&self, state: &mut State) {
+        state.is_write_broken = true;
+        state.writing = None;
+        for frame in std::mem::take(&mut state.queue) {
+            let end = CallEnd::ConnectionLost(Written::None);
+            self.end_call(state, frame.id, end);
+        }
+    }
+
     /// Returns the bytes to write next. Once the backend is drained, queued calls end and only a
     /// message that is partially written is completed.
     pub(super) fn next_bytes(&self, is_drained: bool) -> Option<Bytes> {
         let state = &mut *self.state.borrow_mut();
+        if state.is_write_broken {
+            return None;
+        }
         if state.writing.is_none() && is_drained {
             for frame in std::mem::take(&mut state.queue) {
                 self.end_call(state, frame.id, CallEnd::Drained);
--- a/crates/heathroad/src/backend/jsonrpc/io.rs
+++ b/crates/heathroad/src/backend/jsonrpc/io.rs
@@ -5,12 +5,14 @@
 use crate::backend::pool::{ConnectionSlot, Pool};
 use crate::backend::target::Target;
 use crate::runtime_accounting::{self, timeout};
-use bytes::Bytes;
 use heathroad_jsonrpc::{Decoder, Framing, Limits};
+use std::future::poll_fn;
 use std::io;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Poll, ready};
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::net::tcp::WriteHalf;
 
@@ -53,7 +55,6 @@
         if !is_valid || is_broken || connection.is_finished() {
             return;
         }
-        let next = connection.next_bytes(is_drained());
         tokio::select! {
             biased;
             // Reads take precedence, so that a close by the backend is noticed before more is
@@ -64,18 +65,14 @@
                     return;
                 }
             }
-            written = write_next(&mut writer, next.as_ref()) => match written {
-                Ok(bytes) if bytes > 0 => {
-                    runtime_accounting::wrote();
-                    connection.record_written(bytes);
-                }
-                _ => {
+            written = write_next(connection, &mut writer, &is_drained) => {
+                if !written.is_ok_and(|bytes| bytes > 0) {
                     // A response may have arrived before the write failed.
                     is_broken = true;
                     let _ =
                         timeout(FINAL_READ_TIMEOUT, reader.read_buf(decoder.buffer())).await;
                 }
-            },
+            }
             () = connection.wake.notified() => {}
         }
     }
@@ -93,10 +90,21 @@
     }
 }
 
-/// Writes the next bytes; never completes if there are none.
-async fn write_next(writer: &mut WriteHalf<'_>, next: Option<&Bytes>) -> io::Result<usize> {
-    match next {
-        Some(bytes) => writer.write(bytes).await,
-        None => std::future::pending().await,
-    }
+/// Writes and records the next bytes; never completes if there are none. The bytes are chosen when
+/// the stream accepts them, since their call may be abandoned while the stream is full.
+async fn write_next(
+    connection: &Connection,
+    writer: &mut WriteHalf<'_>,
+    is_drained: &impl Fn() -> bool,
+) -> io::Result<usize> {
+    poll_fn(|cx| {
+        let Some(next) = connection.next_bytes(is_drained()) else {
+            return Poll::Pending;
+        };
+        let written = ready!(Pin::new(&mut *writer).poll_write(cx, &next))?;
+        runtime_accounting::wrote();
+        connection.record_written(written);
+        Poll::Ready(Ok(written))
+    })
+    .await
 }
--- a/crates/heathroad/tests/unit/backend_races.rs
+++ b/crates/heathroad/tests/unit/backend_races.rs
@@ -50,13 +50,13 @@
 }
 
 /// An attempt under way.
-struct RunningAttempt {
-    control: Rc<AttemptControl>,
-    outcome: oneshot::Receiver<Outcome>,
+pub(super) struct RunningAttempt {
+    pub(super) control: Rc<AttemptControl>,
+    pub(super) outcome: oneshot::Receiver<Outcome>,
     task: JoinHandle<()>,
 }
 
-fn run(pool: &Rc<Pool>, target: &Rc<Target>, call: Rc<Call>) -> RunningAttempt {
+pub(super) fn run(pool: &Rc<Pool>, target: &Rc<Target>, call: Rc<Call>) -> RunningAttempt {
     let (control, times_out_at) = (Rc::<AttemptControl>::default(), Instant::now() + LONG * 3);
     let attempt = Attempt {
         call,
@@ -352,7 +352,10 @@
                 assert_eq!(soon(attempt.outcome).await, Ok(Outcome::NotSent));
                 let mut rest = Vec::new();
                 let _ = soon(node.read_to_end(&mut rest)).await;
-                assert!(rest.len() < TEXT, "it got all of it");
+                assert!(
+                    !rest.is_empty() && !rest.contains(&b'\n'),
+                    "it got all of it"
+                );
             })
             .await;
     }
