JSON-RPC: a call that may have run is not answered as never executed

Cause: a request whose class can be repeated anywhere may be rejected though it may have run, since a rejection over HTTP says only that a retry is safe. Over JSON-RPC the same rejection became a code that says that nothing was executed.

Fix: a call states what its rejection claims; where that is more than its attempts allow, it fails with -32002 and is counted as failed. HTTP is as before.

The new test, one silent node and three classes, failed before the fix: claims.look got -32001 with one attempt at the node. It passes after; calls that reach no node still get -32001. One check was wrong: a_node_vanishes_in_the_middle_of_a_reply allowed -32001 for a safe call that may have run at the node that vanished, against json-rpc.md ("nothing was executed"). It now asks for -32002 in that place, one code as before.

--- a/crates/heathroad/src/backend/mod.rs
+++ b/crates/heathroad/src/backend/mod.rs
@@ -42,6 +42,12 @@
         }
     }
 
+    /// Returns whether a rejection tells the client that nothing was executed, and not only that a
+    /// retry is safe.
+    pub fn rejects_as_never_executed(&self) -> bool {
+        matches!(self, Call::JsonRpc(_))
+    }
+
     /// Returns whether attempts carry retry budgets.
     pub fn carries_budget(&self) -> bool {
         match self {
--- a/crates/heathroad/src/engine/request.rs
+++ b/crates/heathroad/src/engine/request.rs
@@ -268,8 +268,9 @@
         self.state.borrow_mut().requests.insert(request, open);
     }
 
-    /// Rejects a request as the decision module decided. If it may have been executed, this is a
-    /// violation and the request fails instead.
+    /// Rejects a request as the decision module decided. The request fails instead if it may have
+    /// been executed and a retry is not safe, which is a violation, or if its client would be told
+    /// that nothing was executed.
     pub(super) fn reject(&self, state: &mut State, request: RequestId, retry_after: Duration) {
         tracing::debug!(request, reason = "balancer decision", "request rejected");
         let retry_after = Some(retry_after).filter(|delay| !delay.is_zero());
@@ -290,7 +291,9 @@
         if !may_reject {
             violations::record_violation(Violation::UnsafeRejection, &open.call.label());
         }
-        may_reject
+        let claims_too_much =
+            open.call.rejects_as_never_executed() && safety::may_have_run(open.past_attempts());
+        may_reject && !claims_too_much
     }
 
     /// Returns the idempotency of a class; an unknown class counts as non-idempotent.
--- a/crates/heathroad/src/safety/mod.rs
+++ b/crates/heathroad/src/safety/mod.rs
@@ -16,6 +16,6 @@
 pub use client::{ClientConnection, ClientHandle};
 pub use rules::{
     ConnectionState, DENIAL_KINDS, Denial, Location, PastAttempt, PendingWrite, WriteDeadline,
-    check_retry, check_write, may_close, may_reject, retry_window,
+    check_retry, check_write, may_close, may_have_run, may_reject, retry_window,
 };
 pub use violations::Violation;
--- a/crates/heathroad/src/safety/rules.rs
+++ b/crates/heathroad/src/safety/rules.rs
@@ -132,10 +132,15 @@
     millis(window_ms).saturating_sub(stall_detector::MAX_TOLERATED_STALL)
 }
 
+/// Returns whether a request may have been executed, or may still be.
+pub fn may_have_run<'a>(mut past_attempts: impl Iterator<Item = &'a PastAttempt>) -> bool {
+    past_attempts.any(PastAttempt::may_have_run)
+}
+
 /// Returns whether a request may be rejected, which tells the client that it can retry safely.
 pub fn may_reject<'a>(
     idempotency: Idempotency,
-    mut past_attempts: impl Iterator<Item = &'a PastAttempt>,
+    past_attempts: impl Iterator<Item = &'a PastAttempt>,
 ) -> bool {
     let can_retry_anywhere = matches!(
         idempotency,
@@ -145,7 +150,7 @@
                 ..
             }
     );
-    can_retry_anywhere || !past_attempts.any(PastAttempt::may_have_run)
+    can_retry_anywhere || !may_have_run(past_attempts)
 }
 
 /// The state of an attempt that is about to be written.
--- a/crates/heathroad/tests/jsonrpc.rs
+++ b/crates/heathroad/tests/jsonrpc.rs
@@ -395,9 +395,9 @@
             )
         })
         .collect();
-    // The safe one may run again, but there is no other node: that is a refusal, and none of the
-    // others is.
-    assert!([(0, 2), (REFUSED, 1)].contains(&told[0]), "{told:?}");
+    // The safe one may run again, but there is no other node. It may have run at the one that
+    // vanished, so that none of them is a refusal.
+    assert!([(0, 2), (FAILED, 1)].contains(&told[0]), "{told:?}");
     assert_eq!(told[1..], [(FAILED, 1), (FAILED, 1)]);
     drop(nodes);
 }
@@ -698,6 +698,46 @@
     assert!(script.of("\"behind\"").is_empty());
 }
 
+/// Guards against an answer that claims too much: a call that a silent node has and may run was
+/// answered "nothing was done" when its time ended, if its class may be repeated.
+#[tokio::test]
+async fn a_call_that_may_have_run_is_not_answered_as_never_executed() {
+    let (script, _nodes, list) = nodes(&["a"]).await;
+    let s = scene(&Plan {
+        nodes: &list,
+        deadline_ms: 1000,
+        ..Plan::default()
+    })
+    .await;
+    let silent = Arc::new(Notify::new());
+    for method in ["claims.look", "claims.keep", "claims.once"] {
+        script.give((0..6).map(|_| Act::Hold(silent.clone())));
+        let answer = s.raw().await.call(&call(method, method, "1")).await;
+        let code = code(&answer);
+        assert!(
+            code == FAILED || code == TIMED_OUT,
+            "{method}: {answer}; the node saw {} attempts",
+            script.of(method).len()
+        );
+    }
+    // No node can be reached: nothing was executed, and the client is told so.
+    let closed = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port");
+    let unreachable = [closed.local_addr().expect("bound")];
+    drop(closed);
+    let s = scene(&Plan {
+        nodes: &unreachable,
+        deadline_ms: 1000,
+        ..Plan::default()
+    })
+    .await;
+    for method in ["claims.look", "claims.keep", "claims.once"] {
+        let answer = s.raw().await.call(&call(method, method, "1")).await;
+        assert_eq!(code(&answer), REFUSED, "{method}: {answer}");
+    }
+}
+
 /// A caller that ends its own side waits for what it asked; one that leaves does not, and what was
 /// not begun is not.
 #[tokio::test]
