--- a/crates/heathroad/src/backend/jsonrpc/connection.rs
+++ b/crates/heathroad/src/backend/jsonrpc/connection.rs
@@ -76,7 +76,7 @@
     is_closing: bool,
     /// A message was abandoned when it was partially written. Nothing more may be written: the
     /// backend would receive the rest of the message, or take the next one for it.
-    is_write_broken: bool,
+    has_ended_writes: bool,
     has_ended: bool,
 }
 
@@ -211,11 +211,14 @@
 
     /// Ends the writing of messages for good. Queued calls end as never written.
     fn end_writes(&self, state: &mut State) {
-        state.is_write_broken = true;
+        state.has_ended_writes = true;
         state.writing = None;
+        self.end_queued_calls(state, || CallEnd::ConnectionLost(Written::None));
+    }
+
+    fn end_queued_calls(&self, state: &mut State, end: impl Fn() -> CallEnd) {
         for frame in std::mem::take(&mut state.queue) {
-            let end = CallEnd::ConnectionLost(Written::None);
-            self.end_call(state, frame.id, end);
+            self.end_call(state, frame.id, end());
         }
     }
 
@@ -223,13 +226,11 @@
     /// message that is partially written is completed.
     pub(super) fn next_bytes(&self, is_drained: bool) -> Option<Bytes> {
         let state = &mut *self.state.borrow_mut();
-        if state.is_write_broken {
+        if state.has_ended_writes {
             return None;
         }
         if state.writing.is_none() && is_drained {
-            for frame in std::mem::take(&mut state.queue) {
-                self.end_call(state, frame.id, CallEnd::Drained);
-            }
+            self.end_queued_calls(state, || CallEnd::Drained);
         }
         if state.writing.is_none() {
             state.writing = state.queue.pop_front();
--- a/crates/heathroad/src/frontend/jsonrpc/connection.rs
+++ b/crates/heathroad/src/frontend/jsonrpc/connection.rs
@@ -11,7 +11,7 @@
 use crate::runtime_accounting::{self, sleep_until, spawn_in};
 use crate::stall_detector;
 use crate::stream::peek;
-use crate::time::{as_millis, millis};
+use crate::time::millis;
 use bytes::{Buf, Bytes, BytesMut};
 use heathroad_jsonrpc::write;
 use heathroad_routing::config::Listener;
@@ -250,7 +250,7 @@
             if !may_read || !self.has_message_capacity() {
                 return;
             }
-            match self.messages.next() {
+            match self.messages.next(now) {
                 Ok(Some(text)) => self.accept_message(&text, is_crowded).await,
                 Ok(None) => return,
                 Err(_) if self.has_input_ended => return,
@@ -280,17 +280,8 @@
     }
 
     fn log_input_end(&self, error: Option<InputError>) {
-        let progress = self.messages.progress(Instant::now());
-        tracing::debug!(
-            listener = self.client.listener().name,
-            ?error,
-            messages = progress.messages,
-            last_message_ms = as_millis(progress.since_last_message),
-            receiving_ms = as_millis(progress.receiving),
-            buffered_bytes = progress.buffered_bytes,
-            running_calls = self.calls.len(),
-            "JSON-RPC input ended"
-        );
+        let listener = &self.client.listener().name;
+        self.messages.log_end(listener, error, self.calls.len());
     }
 
     fn is_quiescent(&self) -> bool {
--- a/crates/heathroad/src/frontend/jsonrpc/exchange.rs
+++ b/crates/heathroad/src/frontend/jsonrpc/exchange.rs
@@ -27,7 +27,7 @@
 
 /// The result of a call.
 pub(super) struct FinishedCall {
-    /// The number of the call's exchange.
+    /// Identifies the exchange of the call: the message that it came in, with its answers.
     pub(super) exchange: u64,
     /// The ID; `None` for a notification, which gets no answer.
     pub(super) id: Option<Bytes>,
--- a/crates/heathroad/src/frontend/jsonrpc/listener.rs
+++ b/crates/heathroad/src/frontend/jsonrpc/listener.rs
@@ -34,7 +34,7 @@
     close_requested: Notify,
 }
 
-/// Serves a listener.
+/// A listener's configuration and its open connections.
 pub(super) struct ListenerServer {
     pub(super) frontend: Rc<JsonRpcFrontend>,
     pub(super) listener: Listener,
--- a/crates/heathroad/src/frontend/jsonrpc/message_reader.rs
+++ b/crates/heathroad/src/frontend/jsonrpc/message_reader.rs
@@ -1,11 +1,11 @@
 //! Decodes the messages of a JSON-RPC connection and records when they arrived.
 
 use super::answer;
+use crate::time::as_millis;
 use bytes::{Bytes, BytesMut};
 use heathroad_jsonrpc::message::{NULL_ID, PARSE_ERROR, RequestError};
 use heathroad_jsonrpc::{Decoder, FramingError, Limits};
 use heathroad_routing::config::Listener;
-use std::time::Duration;
 use tokio::time::Instant;
 
 /// Maximum nesting depth of a message.
@@ -60,18 +60,6 @@
     started_at: Option<Instant>,
 }
 
-/// What has arrived, for log lines.
-pub(super) struct InputProgress {
-    /// Number of decoded messages.
-    pub(super) messages: u64,
-    /// Time since the last one was decoded, or since the connection was accepted.
-    pub(super) since_last_message: Duration,
-    /// How long the timer of the partially received message has been running.
-    pub(super) receiving: Duration,
-    /// Bytes that were read but not decoded.
-    pub(super) buffered_bytes: usize,
-}
-
 impl MessageReader {
     /// Returns the reader of a connection that was accepted at `now`.
     pub(super) fn new(listener: &Listener, now: Instant) -> MessageReader {
@@ -104,13 +92,13 @@
         self.is_drained
     }
 
-    /// Returns the next complete message, if it has arrived.
-    pub(super) fn next(&mut self) -> Result<Option<Bytes>, FramingError> {
+    /// Returns the next complete message, if it has arrived by `now`.
+    pub(super) fn next(&mut self, now: Instant) -> Result<Option<Bytes>, FramingError> {
         let text = self.decoder.next_text()?;
         self.is_drained = text.is_none();
         if text.is_some() {
             self.messages += 1;
-            self.last_message_at = Instant::now();
+            self.last_message_at = now;
             self.started_at = None;
         }
         Ok(text)
@@ -134,14 +122,18 @@
         self.started_at
     }
 
-    /// Returns what has arrived until `now`.
-    pub(super) fn progress(&self, now: Instant) -> InputProgress {
-        let receiving = self.started_at.map(|started_at| now - started_at);
-        InputProgress {
-            messages: self.messages,
-            since_last_message: now - self.last_message_at,
-            receiving: receiving.unwrap_or_default(),
-            buffered_bytes: self.decoder.buffered_bytes(),
-        }
+    /// Logs the end of input, with what had arrived.
+    pub(super) fn log_end(&self, listener: &str, error: Option<InputError>, running_calls: usize) {
+        let receiving = self.started_at.map(|started_at| started_at.elapsed());
+        tracing::debug!(
+            listener,
+            ?error,
+            messages = self.messages,
+            last_message_ms = as_millis(self.last_message_at.elapsed()),
+            receiving_ms = as_millis(receiving.unwrap_or_default()),
+            buffered_bytes = self.decoder.buffered_bytes(),
+            running_calls,
+            "JSON-RPC input ended"
+        );
     }
 }
--- a/crates/heathroad/src/frontend/jsonrpc/stream_io.rs
+++ b/crates/heathroad/src/frontend/jsonrpc/stream_io.rs
@@ -12,8 +12,8 @@
 /// Size of one discarding read, in bytes.
 const DISCARD_SIZE: usize = 1024;
 
-/// Reads into a buffer or, if `reads` is false, waits for an error: while the stream is
-/// not read, only a reset shows that the client has disconnected.
+/// Reads into a buffer or, if `reads` is false, waits for an error: while the stream is not read,
+/// only a reset shows that the client has disconnected.
 pub(super) async fn read_or_wait(
     reader: &mut ReadHalf<'_>,
     buffer: &mut BytesMut,
--- a/crates/heathroad/tests/jsonrpc.rs
+++ b/crates/heathroad/tests/jsonrpc.rs
@@ -3,7 +3,7 @@
 
 mod rig;
 
-use rig::rpc::{Act, Raw, Script, call, code};
+use rig::rpc::{Act, FAILED, REFUSED, Raw, Script, TIMED_OUT, call, code};
 use rig::rpc_scene::{Plan, nodes, scene};
 use rig::*;
 use serde_json::{Value, json};
@@ -13,10 +13,6 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::{Notify, watch};
 
-const REFUSED: i64 = -32001;
-const FAILED: i64 = -32002;
-const TIMED_OUT: i64 = -32003;
-
 /// A measurement and no test: calls a second and CPU a call, one by one or pipelined towards nodes,
 /// beside HTTP into the same pool. Run it in release with `--ignored --nocapture`.
 #[tokio::test]
@@ -721,11 +717,7 @@
         );
     }
     // No node can be reached: nothing was executed, and the client is told so.
-    let closed = tokio::net::TcpListener::bind("127.0.0.1:0")
-        .await
-        .expect("a port");
-    let unreachable = [closed.local_addr().expect("bound")];
-    drop(closed);
+    let unreachable = ["127.0.0.1:9".parse().expect("an address")];
     let s = scene(&Plan {
         nodes: &unreachable,
         deadline_ms: 1000,
--- a/crates/heathroad/tests/jsonrpc_input.rs
+++ b/crates/heathroad/tests/jsonrpc_input.rs
@@ -3,16 +3,14 @@
 
 mod rig;
 
-use rig::rpc::{Act, Raw, call, code};
-use rig::rpc_scene::{Plan, nodes, scene};
+use rig::rpc::{Act, Node, PARSE_ERROR, REFUSED, Raw, Script, call, code};
+use rig::rpc_scene::{Plan, Scene, nodes, scene};
 use serde_json::Value;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
-const REJECTED: i64 = -32001;
-const PARSE_ERROR: i64 = -32700;
 /// The time limit of one message.
 const MESSAGE_TIME: Duration = Duration::from_secs(2);
 /// How long the calls of a connection follow each other: several time limits would have passed.
@@ -85,13 +83,56 @@
     tokio::join!(lines, headers, concatenated);
 }
 
-/// Sends five notifications and a call in one write while the only call that may run is held, so
-/// that they are rejected at the limit of messages, two at a time.
-async fn crowded(raw: &mut Raw) {
-    let texts = ["n1", "n2", "n3", "n4", "n5"].map(|what| notification(what) + "\n");
-    let text = call("claims.look", "behind", "2");
-    raw.write(format!("{}{text}\n", texts.concat()).as_bytes())
+/// A connection that runs one call, which is all that it may, and whose node holds it.
+struct BusyConnection {
+    scene: Scene,
+    script: Arc<Script>,
+    _nodes: Vec<Node>,
+    raw: Raw,
+    held: Arc<Notify>,
+}
+
+impl BusyConnection {
+    async fn new() -> BusyConnection {
+        let (script, nodes, list) = nodes(&["a"]).await;
+        let scene = scene(&Plan {
+            nodes: &list,
+            listener: "calls = 1",
+            ..Plan::default()
+        })
         .await;
+        let held = Arc::new(Notify::new());
+        script.give([Act::Hold(held.clone())]);
+        let mut raw = scene.raw().await;
+        raw.send(&call("claims.look", "held", "1")).await;
+        script.came(1).await;
+        BusyConnection {
+            scene,
+            script,
+            _nodes: nodes,
+            raw,
+            held,
+        }
+    }
+
+    /// Sends five notifications and a call in one write. The notifications are rejected at the
+    /// limit of messages, two at a time.
+    async fn crowd(&mut self) {
+        let texts = ["n1", "n2", "n3", "n4", "n5"].map(|what| notification(what) + "\n");
+        let text = call("claims.look", "behind", "2");
+        self.raw
+            .write(format!("{}{text}\n", texts.concat()).as_bytes())
+            .await;
+    }
+}
+
+/// Asserts that an answer refuses the call behind the notifications.
+fn assert_refused(answer: &Value) {
+    assert_eq!(
+        (code(answer), &answer["id"]),
+        (REFUSED, &Value::from(2)),
+        "{answer}"
+    );
 }
 
 /// Guards against messages that have arrived whole and are counted as incomplete: behind
@@ -99,97 +140,50 @@
 /// limit and was never answered.
 #[tokio::test]
 async fn whole_messages_behind_rejected_notifications_are_answered() {
-    let (script, _nodes, list) = nodes(&["a"]).await;
-    let s = scene(&Plan {
-        nodes: &list,
-        listener: "calls = 1",
-        ..Plan::default()
-    })
-    .await;
-    let held = Arc::new(Notify::new());
-    script.give([Act::Hold(held.clone())]);
-    let mut raw = s.raw().await;
-    raw.send(&call("claims.look", "held", "1")).await;
-    script.came(1).await;
+    let mut s = BusyConnection::new().await;
     let begun = Instant::now();
-    crowded(&mut raw).await;
-    let answer = raw.next().await;
-    assert_eq!(
-        (code(&answer), &answer["id"]),
-        (REJECTED, &Value::from(2)),
-        "{answer}"
-    );
+    s.crowd().await;
+    assert_refused(&s.raw.next().await);
     assert!(begun.elapsed() < MESSAGE_TIME, "{:?}", begun.elapsed());
     // The limit of an incomplete message still ends the input.
-    raw.write(b"{\"half\":").await;
+    s.raw.write(b"{\"half\":").await;
     tokio::time::sleep(MESSAGE_TIME + MESSAGE_TIME / 2).await;
-    held.notify_one();
-    assert_eq!(raw.next().await["result"], "a");
-    assert_eq!(code(&raw.next().await), PARSE_ERROR);
-    assert_eq!(raw.rest().await, "");
+    s.held.notify_one();
+    assert_eq!(s.raw.next().await["result"], "a");
+    assert_eq!(code(&s.raw.next().await), PARSE_ERROR);
+    assert_eq!(s.raw.rest().await, "");
 }
 
 /// Guards against an end of input that joins the messages before it: the client closes its sending
 /// side behind messages that lie in the buffer, and they were taken for one.
 #[tokio::test]
 async fn whole_messages_before_the_end_of_input_stay_apart() {
-    let (script, _nodes, list) = nodes(&["a"]).await;
-    let s = scene(&Plan {
-        nodes: &list,
-        listener: "calls = 1",
-        ..Plan::default()
-    })
-    .await;
-    let held = Arc::new(Notify::new());
-    script.give([Act::Hold(held.clone())]);
-    let mut raw = s.raw().await;
-    raw.send(&call("claims.look", "held", "1")).await;
-    script.came(1).await;
-    crowded(&mut raw).await;
-    raw.shut().await;
-    let answer = raw.next().await;
-    assert_eq!(
-        (code(&answer), &answer["id"]),
-        (REJECTED, &Value::from(2)),
-        "{answer}"
-    );
-    held.notify_one();
-    assert_eq!(raw.next().await["id"], 1);
-    assert_eq!(raw.rest().await, "");
+    let mut s = BusyConnection::new().await;
+    s.crowd().await;
+    s.raw.shut().await;
+    assert_refused(&s.raw.next().await);
+    s.held.notify_one();
+    assert_eq!(s.raw.next().await["id"], 1);
+    assert_eq!(s.raw.rest().await, "");
 }
 
 /// Guards against a planned stop that closes over messages which lie in the buffer: behind
 /// notifications rejected at the limit of messages, a call was read and never answered.
 #[tokio::test]
 async fn whole_messages_at_a_planned_stop_are_answered() {
-    let (script, _nodes, list) = nodes(&["a"]).await;
-    let mut s = scene(&Plan {
-        nodes: &list,
-        listener: "calls = 1",
-        ..Plan::default()
-    })
-    .await;
-    let mut resting = s.raw().await;
+    let mut s = BusyConnection::new().await;
+    let mut resting = s.scene.raw().await;
     let text = call("claims.look", "resting", "1");
     assert_eq!(resting.call(&text).await["result"], "a");
-    let held = Arc::new(Notify::new());
-    script.give([Act::Hold(held.clone())]);
-    let mut raw = s.raw().await;
-    raw.send(&call("claims.look", "held", "1")).await;
-    script.came(2).await;
-    s.proxy.terminate().await;
+    s.script.came(2).await;
+    s.scene.proxy.terminate().await;
     assert_eq!(resting.line().await, "", "the stop has begun");
-    crowded(&mut raw).await;
-    held.notify_one();
-    let mut answers = [raw.next().await, raw.next().await];
+    s.crowd().await;
+    s.held.notify_one();
+    let mut answers = [s.raw.next().await, s.raw.next().await];
     answers.sort_by_key(|answer| answer["id"].as_u64());
     assert_eq!(answers[0]["result"], "a");
-    assert_eq!(
-        (code(&answers[1]), &answers[1]["id"]),
-        (REJECTED, &Value::from(2)),
-        "{}",
-        answers[1]
-    );
-    assert_eq!(raw.rest().await, "");
-    assert!(s.proxy.ended().await.success());
+    assert_refused(&answers[1]);
+    assert_eq!(s.raw.rest().await, "");
+    assert!(s.scene.proxy.ended().await.success());
 }
--- a/crates/heathroad/tests/rig/rpc.rs
+++ b/crates/heathroad/tests/rig/rpc.rs
@@ -13,6 +13,15 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
 
+/// The code of an answer that says that nothing was executed.
+pub const REFUSED: i64 = -32001;
+/// The code of an answer that says that the call failed and may have run.
+pub const FAILED: i64 = -32002;
+/// The code of an answer that says that no response came in time.
+pub const TIMED_OUT: i64 = -32003;
+/// The code of an answer to what is no JSON or came too late.
+pub const PARSE_ERROR: i64 = -32700;
+
 /// What a node does with a call.
 #[derive(Clone)]
 pub enum Act {
--- a/crates/heathroad/tests/rig/rpc_scene.rs
+++ b/crates/heathroad/tests/rig/rpc_scene.rs
@@ -1,6 +1,7 @@
 //! The started program with one pool over JSON-RPC and one listener.
 
 use super::rpc::{Node, Raw, Script};
+use super::scene::{addresses, classes};
 use super::{Discovery, Proxy, ask, counts, settings, write_file};
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -41,26 +42,15 @@
             listener,
             more,
         } = self;
-        let list: Vec<String> = nodes.iter().map(|a| format!("\"{a}\"")).collect();
-        let class = |name: &str, effect: &str| {
-            format!(
-                "[[pool.class]]\nname = \"{name}\"\n{effect}\naim_ms = {deadline_ms}\ndeadline_ms = {deadline_ms}\n"
-            )
-        };
         let method = |name: &str, class: &str, more: &str| {
             format!("[[listener.method]]\nname = \"{name}\"\nclass = \"{class}\"\n{more}\n")
         };
         format!(
-            "[[pool]]\nname = \"p\"\nbackends = [{}]\nrpc = {{ calls = {calls}{rpc} }}\n{}{}{}\
+            "[[pool]]\nname = \"p\"\nbackends = {}\nrpc = {{ calls = {calls}{rpc} }}\n{}\
              [[route]]\nname = \"all\"\npool = \"p\"\n\
              [[listener]]\nname = \"claims\"\nlisten = \"127.0.0.1:0\"\nprotocol = \"json-rpc\"\n{}{listener}\n{}{}{}{more}",
-            list.join(", "),
-            class("look", "effect = \"safe\""),
-            class(
-                "keep",
-                "effect = \"keyed\"\ngroup = \"all\"\nwindow_ms = 60000"
-            ),
-            class("once", "effect = \"unsafe\""),
+            addresses(nodes),
+            classes(*deadline_ms, *deadline_ms),
             if listener.contains("tenant") {
                 ""
             } else {
--- a/crates/heathroad/tests/rig/scene.rs
+++ b/crates/heathroad/tests/rig/scene.rs
@@ -7,22 +7,35 @@
 
 /// A pool of listed backends that serves the classes of the rig.
 pub fn pool(name: &str, backends: &[SocketAddr]) -> String {
+    format!(
+        "[[pool]]\nname = \"{name}\"\nbackends = {}\n{}",
+        addresses(backends),
+        classes(20_000, 60_000)
+    )
+}
+
+/// The addresses as a list of a routes file.
+pub fn addresses(backends: &[SocketAddr]) -> String {
     let list: Vec<String> = backends.iter().map(|a| format!("\"{a}\"")).collect();
+    format!("[{}]", list.join(", "))
+}
+
+/// The classes of the rig, as tables of the pool before them.
+pub fn classes(aim_ms: u32, deadline_ms: u32) -> String {
     let class = |name: &str, effect: &str| {
         format!(
-            "[[pool.class]]\nname = \"{name}\"\n{effect}\naim_ms = 20000\ndeadline_ms = 60000\n"
+            "[[pool.class]]\nname = \"{name}\"\n{effect}\naim_ms = {aim_ms}\ndeadline_ms = {deadline_ms}\n"
         )
     };
-    format!(
-        "[[pool]]\nname = \"{name}\"\nbackends = [{}]\n{}{}{}",
-        list.join(", "),
+    [
         class("look", "effect = \"safe\""),
         class(
             "keep",
-            "effect = \"keyed\"\ngroup = \"all\"\nwindow_ms = 60000"
+            "effect = \"keyed\"\ngroup = \"all\"\nwindow_ms = 60000",
         ),
         class("once", "effect = \"unsafe\""),
-    )
+    ]
+    .concat()
 }
 
 pub fn route(name: &str, when: &str, to: &str) -> String {
--- a/crates/heathroad/tests/unit/backend_jsonrpc.rs
+++ b/crates/heathroad/tests/unit/backend_jsonrpc.rs
@@ -1,6 +1,6 @@
 //! JSON-RPC connections to backends: which of them a call may use.
 
-use super::races::{LONG, RunningAttempt, pool, run, soon};
+use super::races::{LONG, RunningAttempt, jsonrpc_call, pool, run, soon};
 use super::*;
 use bytes::Bytes;
 use heathroad_balancer::api::Outcome;
@@ -12,23 +12,14 @@
 use tokio::time::timeout;
 
 fn call(port: u16, framing: Framing) -> Rc<Call> {
-    call_with(port, framing, None)
+    jsonrpc_call(port, framing, None)
 }
 
-fn call_with(port: u16, framing: Framing, params: Option<Bytes>) -> Rc<Call> {
-    let transport = jsonrpc::Transport {
-        port: Some(port),
-        framing,
-        max_calls: 4,
-        declined_code: None,
-        carries_budget: false,
-    };
-    Rc::new(Call::JsonRpc(jsonrpc::Call {
-        method: Bytes::from_static(b"\"once\""),
-        params,
-        is_notification: false,
-        transport,
-    }))
+fn transport(port: u16, framing: Framing) -> jsonrpc::Transport {
+    match &*call(port, framing) {
+        Call::JsonRpc(call) => call.transport,
+        Call::Http(_) => unreachable!("a JSON-RPC call"),
+    }
 }
 
 /// Starts a service that answers each call, a line each, with its name.
@@ -75,15 +66,9 @@
                 let member = served(&pool, &target, &call(port, Framing::Lines)).await;
                 assert!(member.contains(name), "{name}: {member}");
             }
-            // Connected means connected to the pool's own port.
-            let closed = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-            let port = closed.local_addr().expect("bound").port();
-            drop(closed);
-            let Call::JsonRpc(other) = &*call(port, Framing::Lines) else {
-                unreachable!("a JSON-RPC call");
-            };
-            let transport = Some(other.transport);
-            assert!(!pool.ensure_connection(&target, transport).await);
+            // Connected means connected to the pool's own port, and nothing listens on this one.
+            let other = transport(9, Framing::Lines);
+            assert!(!pool.ensure_connection(&target, Some(other)).await);
         })
         .await;
 }
@@ -98,11 +83,7 @@
             let port = service("node").await;
             let target = pool.target("node", ([127, 0, 0, 1], port).into(), 0.0);
             served(&pool, &target, &call(port, Framing::Lines)).await;
-            let transport = |framing| match &*call(port, framing) {
-                Call::JsonRpc(call) => call.transport,
-                Call::Http(_) => unreachable!("a JSON-RPC call"),
-            };
-            let find = |framing| pool.find_jsonrpc(&target, &transport(framing));
+            let find = |framing| pool.find_jsonrpc(&target, &transport(port, framing));
             assert!(find(Framing::Lines).is_some());
             assert!(find(Framing::Headers).is_none());
             // A process that drains keeps no connection, whatever its port and framing.
@@ -141,7 +122,7 @@
         let read = soon(node.read_line(&mut awaited_line)).await;
         assert_ne!(read.expect("open"), 0);
         let params = Some(Bytes::from(format!("[\"{}\"]", "x".repeat(LONG_TEXT))));
-        let long_call = call_with(address.port(), Framing::Lines, params);
+        let long_call = jsonrpc_call(address.port(), Framing::Lines, params);
         let half_written = run(&pool, &target, long_call);
         assert_ne!(soon(node.read(&mut [0; 64])).await.expect("open"), 0);
         HalfWritten {
--- a/crates/heathroad/tests/unit/backend_races.rs
+++ b/crates/heathroad/tests/unit/backend_races.rs
@@ -3,6 +3,7 @@
 use super::*;
 use bytes::Bytes;
 use heathroad_balancer::api::Outcome;
+use heathroad_jsonrpc::Framing;
 use hyper::header::HeaderValue;
 use hyper::{Method, Uri};
 use socket2::SockRef;
@@ -49,6 +50,23 @@
     }))
 }
 
+/// Returns a call to a port of the target.
+pub(super) fn jsonrpc_call(port: u16, framing: Framing, params: Option<Bytes>) -> Rc<Call> {
+    let transport = jsonrpc::Transport {
+        port: Some(port),
+        framing,
+        max_calls: 4,
+        declined_code: None,
+        carries_budget: false,
+    };
+    Rc::new(Call::JsonRpc(jsonrpc::Call {
+        method: Bytes::from_static(b"\"once\""),
+        params,
+        is_notification: false,
+        transport,
+    }))
+}
+
 /// An attempt under way.
 pub(super) struct RunningAttempt {
     pub(super) control: Rc<AttemptControl>,
@@ -329,22 +347,8 @@
         LocalSet::new()
             .run_until(async {
                 let target = pool.target("a", address, 0.0);
-                let framing = heathroad_jsonrpc::Framing::Lines;
-                let transport = jsonrpc::Transport {
-                    port: None,
-                    framing,
-                    max_calls: 1,
-                    declined_code: None,
-                    carries_budget: false,
-                };
                 let params = Some(Bytes::from(format!("[\"{}\"]", "x".repeat(TEXT))));
-                let method = Bytes::from_static(b"\"once\"");
-                let call = Rc::new(Call::JsonRpc(jsonrpc::Call {
-                    method,
-                    params,
-                    is_notification: false,
-                    transport,
-                }));
+                let call = jsonrpc_call(address.port(), Framing::Lines, params);
                 let attempt = run(&pool, &target, call);
                 let (mut node, _) = soon(listener.accept()).await.expect("it came");
                 assert_ne!(soon(node.read(&mut [0; 64])).await.expect("open"), 0);
