HTTP: no attempt begins for a client whose end lies behind unread input

Callers saw requests sent on, six times each, up to a second after they had closed. Cause: the look at a client asked the socket for one byte, and any unread byte made the client present. Its end showed only by reading ahead, which stopped at 80 KB and ran after the first attempt had begun.

Where that is used up and more lies there, whether the client is still there is unknown: no attempt begins, and the request is rejected unless one is in flight (denial client_unknown).

New: a client that is there with 3.7 MB in its pipeline is answered throughout, by 503 while its end could not be seen. The unit test of an attempt's check now knows three states and asks for each the one denial.

--- a/crates/heathroad/src/backend/pool.rs
+++ b/crates/heathroad/src/backend/pool.rs
@@ -4,7 +4,7 @@
 use super::target::Target;
 use super::{http, jsonrpc};
 use crate::runtime_accounting::timeout;
-use crate::safety::{self, ClientHandle, Denial, PendingWrite};
+use crate::safety::{self, ClientHandle, ClientPresence, Denial, PendingWrite};
 use heathroad_balancer::api::Outcome;
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
@@ -289,9 +289,9 @@
         target: &Target,
         control: &AttemptControl,
     ) -> Result<(), Denial> {
-        let client_left = control.client.as_ref().is_some_and(ClientHandle::has_left);
+        let client = control.client.as_ref();
         let write = PendingWrite {
-            client_left,
+            client: client.map_or(ClientPresence::Present, ClientHandle::presence),
             backend_withdrawn: self.is_past_drain_grace(target),
             deadline: control.write_deadline,
         };
--- a/crates/heathroad/src/engine/attempt.rs
+++ b/crates/heathroad/src/engine/attempt.rs
@@ -4,15 +4,13 @@
 use super::endpoints::KnownEndpoint;
 use super::pending_response::RunningAttempt;
 use super::request::OpenRequest;
-use super::response::{Response, ResponseState};
+use super::response::{Response, ResponseState, retry_after};
 use super::{Engine, State};
 use crate::backend::{Attempt, AttemptControl, AttemptEnd, Target};
 use crate::membership::activity_log;
 use crate::metrics::UnjudgedEnd;
 use crate::retry_budget::{DelegatedBudget, RequestBudget};
-use crate::safety::{
-    self, ClientHandle, Denial, Location, PastAttempt, Violation, WriteDeadline, violations,
-};
+use crate::safety::{self, Denial, Location, PastAttempt, Violation, WriteDeadline, violations};
 use crate::time::as_millis;
 use bytes::Bytes;
 use heathroad_balancer::api::{AttemptResult, BackendId, Event, Outcome, RequestId};
@@ -164,8 +162,8 @@
         if open.is_answered() {
             return Err(Denial::RequestAnswered);
         }
-        if open.client.as_ref().is_some_and(ClientHandle::has_left) {
-            return Err(Denial::ClientLeft);
+        if let Some(client) = &open.client {
+            safety::check_client(client.presence())?;
         }
         if open.attempts.len() >= self.settings.balancer.limits.max_attempts as usize {
             return Err(Denial::AttemptLimit);
@@ -217,7 +215,15 @@
         if matches!(denial, Denial::NotRetryable | Denial::OutsideGroup) {
             violations::record_violation(Violation::UnsafeRetry, &label);
         }
-        if denial == Denial::ClientLeft && open.close().is_some() {
+        let is_over = match denial {
+            Denial::ClientLeft => open.close().is_some(),
+            // No further attempt may begin; one that is in flight may still be served.
+            Denial::ClientUnknown if !open.has_attempt_in_flight() => {
+                open.respond(self.rejection(open, retry_after(&self.settings)))
+            }
+            _ => false,
+        };
+        if is_over {
             state.events.push_back(Event::ClientLeft { request });
         }
         let (number, started_at) = (open.attempts.len(), Instant::now());
@@ -348,11 +354,11 @@
     fn respond_with_result(&mut self, result: AttemptEnd) {
         match result {
             AttemptEnd::Served(body) | AttemptEnd::ServedWithError(body) => {
-                self.respond(Response::Served(body));
+                self.respond(Response::Served(body))
             }
             AttemptEnd::NotificationSent => self.respond(Response::Served(Bytes::new())),
             AttemptEnd::Rejected => self.respond(Response::Failed),
-            AttemptEnd::NotServed(_) => {}
-        }
+            AttemptEnd::NotServed(_) => false,
+        };
     }
 }
--- a/crates/heathroad/src/engine/request.rs
+++ b/crates/heathroad/src/engine/request.rs
@@ -85,18 +85,27 @@
 }
 
 impl OpenRequest {
-    /// Sends the response, unless the request already has one.
-    pub(super) fn respond(&mut self, response: Response) {
-        if let Some(pending) = self.close() {
-            // After failed attempts, retries by upstream tiers cannot succeed.
-            let has_failed = !matches!(response, Response::Served(_)) && !self.attempts.is_empty();
-            let budget = self.budget.as_ref();
-            let retries_spent = budget.and_then(|budget| budget.retries_spent(has_failed));
-            pending.send(FinalResponse {
-                response,
-                retries_spent,
-            });
-        }
+    /// Sends the response, unless the request already has one; returns whether it was sent.
+    pub(super) fn respond(&mut self, response: Response) -> bool {
+        let Some(pending) = self.close() else {
+            return false;
+        };
+        // After failed attempts, retries by upstream tiers cannot succeed.
+        let has_failed = !matches!(response, Response::Served(_)) && !self.attempts.is_empty();
+        let budget = self.budget.as_ref();
+        let retries_spent = budget.and_then(|budget| budget.retries_spent(has_failed));
+        pending.send(FinalResponse {
+            response,
+            retries_spent,
+        });
+        true
+    }
+
+    /// Returns whether an attempt has not reported its result.
+    pub(super) fn has_attempt_in_flight(&self) -> bool {
+        self.attempts
+            .iter()
+            .any(|attempt| attempt.in_flight.is_some())
     }
 
     /// Marks the response as sent and returns the pending response, if there was one. All attempts
@@ -121,11 +130,7 @@
 
     /// Returns whether the response was sent and all attempts have ended.
     pub(super) fn is_finished(&self) -> bool {
-        self.is_answered()
-            && self
-                .attempts
-                .iter()
-                .all(|attempt| attempt.in_flight.is_none())
+        self.is_answered() && !self.has_attempt_in_flight()
     }
 
     /// Returns the attempts as the safety rules see them.
@@ -274,26 +279,30 @@
     pub(super) fn reject(&self, state: &mut State, request: RequestId, retry_after: Duration) {
         tracing::debug!(request, reason = "balancer decision", "request rejected");
         let retry_after = Some(retry_after).filter(|delay| !delay.is_zero());
-        let may_reject = self.may_reject(state, request);
-        let response = if may_reject {
-            Response::Rejected { retry_after }
-        } else {
-            Response::Failed
-        };
-        state.respond(request, response);
-    }
-
-    fn may_reject(&self, state: &State, request: RequestId) -> bool {
         let Some(open) = state.requests.get(&request) else {
-            return true;
+            return;
         };
-        let may_reject = safety::may_reject(self.idempotency(open.class), open.past_attempts());
-        if !may_reject {
+        if !self.is_retry_safe(open) {
             violations::record_violation(Violation::UnsafeRejection, &open.call.label());
         }
+        let response = self.rejection(open, retry_after);
+        state.respond(request, response);
+    }
+
+    /// Returns the response that rejects a request, or that fails it if a rejection would claim
+    /// more than is known of its attempts.
+    pub(super) fn rejection(&self, open: &OpenRequest, retry_after: Option<Duration>) -> Response {
         let claims_too_much =
             open.call.rejects_as_never_executed() && safety::may_have_run(open.past_attempts());
-        may_reject && !claims_too_much
+        if self.is_retry_safe(open) && !claims_too_much {
+            Response::Rejected { retry_after }
+        } else {
+            Response::Failed
+        }
+    }
+
+    fn is_retry_safe(&self, open: &OpenRequest) -> bool {
+        safety::may_reject(self.idempotency(open.class), open.past_attempts())
     }
 
     /// Returns the idempotency of a class; an unknown class counts as non-idempotent.
--- a/crates/heathroad/src/engine/timers.rs
+++ b/crates/heathroad/src/engine/timers.rs
@@ -92,7 +92,9 @@
                 "open requests timed out"
             );
             let requests = state.requests.values_mut();
-            requests.for_each(|request| request.respond(Response::TimedOut));
+            requests.for_each(|request| {
+                request.respond(Response::TimedOut);
+            });
             state.requests.keys().copied().collect()
         };
         for request in open {
--- a/crates/heathroad/src/frontend/connections.rs
+++ b/crates/heathroad/src/frontend/connections.rs
@@ -2,7 +2,9 @@
 //! connection to close when the limit is reached.
 
 use super::read_ahead::ReadAheadStream;
-use crate::safety::{self, ClientConnection, ConnectionState, Violation, violations};
+use crate::safety::{
+    self, ClientConnection, ClientPresence, ConnectionState, Violation, violations,
+};
 use crate::stall_detector;
 use crate::stream::{Progress, Unread};
 use hyper::header::HeaderValue;
@@ -124,6 +126,7 @@
             connection = self.number,
             ?reason,
             is_pending,
+            read_ahead_bytes = self.stream.buffered_bytes(),
             "connection closed"
         );
         let by_proxy = !matches!(reason, CloseReason::ByClient | CloseReason::Broken);
@@ -156,11 +159,12 @@
 }
 
 impl ClientConnection for Connection {
-    /// Checks the reactor's readiness state or, after a stall that may have made it outdated, the
-    /// socket itself.
-    fn has_left(&self) -> bool {
-        self.stream
-            .is_disconnected(stall_detector::may_have_stalled(Instant::now()))
+    /// Checks the reactor's readiness state or, after a stall that may have made it outdated, and
+    /// on a new connection, which it does not know yet, the socket itself.
+    fn presence(&self) -> ClientPresence {
+        let bypass_reactor =
+            !self.is_answered.get() || stall_detector::may_have_stalled(Instant::now());
+        self.stream.presence(bypass_reactor)
     }
 }
 
@@ -233,7 +237,9 @@
 
 impl RegisteredConnection {
     /// Registers an accepted stream.
-    pub fn new(table: &Rc<ConnectionTable>, stream: TcpStream) -> Self {
+    ///
+    /// `max_buffered_bytes` bounds the bytes buffered for all clients.
+    pub fn new(table: &Rc<ConnectionTable>, stream: TcpStream, max_buffered_bytes: usize) -> Self {
         let number = table.next_number.get();
         table.next_number.set(number + 1);
         let connection = Rc::new(Connection {
@@ -243,7 +249,7 @@
             is_answered: Cell::new(false),
             is_served: Cell::new(false),
             progress: Rc::default(),
-            stream: ReadAheadStream::new(stream, table),
+            stream: ReadAheadStream::new(stream, table, max_buffered_bytes),
             is_closing: Cell::new(false),
             close_requested: Notify::new(),
         });
--- a/crates/heathroad/src/frontend/http/connection.rs
+++ b/crates/heathroad/src/frontend/http/connection.rs
@@ -11,8 +11,7 @@
 use crate::metrics::ResponseKind;
 use crate::retry_budget::SPENT_HEADER;
 use crate::runtime_accounting::sleep;
-use crate::safety::ClientHandle;
-use crate::stall_detector;
+use crate::safety::{ClientConnection, ClientHandle, ClientPresence};
 use crate::stream::{Unread, WatchedStream};
 use crate::time::as_millis;
 use bytes::Bytes;
@@ -90,9 +89,7 @@
         builder.header_read_timeout(None).max_buf_size(MAX_HEAD);
         let mut http = pin!(builder.serve_connection(watched, service));
         let is_pending = || connection.stage.get() == Stage::Pending;
-        let disconnect = connection
-            .stream
-            .wait_for_disconnect(is_pending, self.max_buffered_bytes);
+        let disconnect = connection.stream.wait_for_disconnect(is_pending);
         let mut disconnect = pin!(disconnect);
         let closed =
             run_until_stop(http.as_mut(), disconnect.as_mut(), connection, &mut stop).await;
@@ -183,7 +180,8 @@
             return to_reply(engine::Response::Rejected { retry_after });
         }
         connection.stage.set(Stage::Pending);
-        if has_client_left(connection) {
+        // The connection's task detects a disconnect too and ends.
+        if connection.presence() == ClientPresence::Left {
             tracing::debug!(id = %incoming.call.label(), reason = "client left", "request dropped");
             bound
                 .engine
@@ -208,14 +206,6 @@
     }
 }
 
-/// Returns whether the client disconnected before its request was handled. The connection's task
-/// detects this too and ends.
-fn has_client_left(connection: &Connection) -> bool {
-    let bypass_reactor =
-        !connection.is_answered.get() || stall_detector::may_have_stalled(Instant::now());
-    connection.stream.is_disconnected(bypass_reactor)
-}
-
 /// Converts the engine's final response to a reply, with the report of spent retries.
 fn to_final_reply(connection: &Connection, decided: FinalResponse) -> Reply {
     let FinalResponse {
--- a/crates/heathroad/src/frontend/http/mod.rs
+++ b/crates/heathroad/src/frontend/http/mod.rs
@@ -109,7 +109,7 @@
     ) -> impl Future<Output = ()> {
         let has_capacity = self.table.descriptors() < self.max_connections;
         let is_crowded = !has_capacity && !self.table.shed_one();
-        let registered = RegisteredConnection::new(&self.table, stream);
+        let registered = RegisteredConnection::new(&self.table, stream, self.max_buffered_bytes);
         self.run_connection(registered, stop, is_crowded)
     }
 }
--- a/crates/heathroad/src/safety/client.rs
+++ b/crates/heathroad/src/safety/client.rs
@@ -2,10 +2,21 @@
 
 use std::rc::{Rc, Weak};
 
+/// What is known of a client.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ClientPresence {
+    /// Its connection is open.
+    Present,
+    /// It has closed its connection.
+    Left,
+    /// So much unread input is buffered that the end of the connection would not be seen.
+    Unknown,
+}
+
 /// A client's connection, as seen by the tasks that act for the client.
 pub trait ClientConnection {
-    /// Returns whether the client has closed the connection.
-    fn has_left(&self) -> bool;
+    /// Returns whether the client has closed the connection, as far as can be seen now.
+    fn presence(&self) -> ClientPresence;
 }
 
 /// Refers to a client's connection without keeping it open.
@@ -19,9 +30,9 @@
         ClientHandle(Rc::downgrade(&connection))
     }
 
-    /// Returns whether the connection was closed, by the client or by the proxy.
-    pub fn has_left(&self) -> bool {
+    /// Returns whether the client is there. It counts as left if the proxy closed the connection.
+    pub fn presence(&self) -> ClientPresence {
         let connection = self.0.upgrade();
-        connection.is_none_or(|connection| connection.has_left())
+        connection.map_or(ClientPresence::Left, |connection| connection.presence())
     }
 }
--- a/crates/heathroad/src/safety/rules.rs
+++ b/crates/heathroad/src/safety/rules.rs
@@ -1,5 +1,6 @@
 //! The safety rules, as pure functions.
 
+use super::ClientPresence;
 use crate::stall_detector;
 use crate::time::millis;
 use heathroad_balancer::api::{DeduplicationScope, Idempotency, Outcome};
@@ -7,7 +8,7 @@
 use tokio::time::Instant;
 
 /// Number of variants of [`Denial`].
-pub const DENIAL_KINDS: usize = 8;
+pub const DENIAL_KINDS: usize = 9;
 
 /// The rule that denies an attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,6 +31,8 @@
     OutsideGroup,
     /// The deduplication window of the idempotency key has ended or is about to end.
     WindowExpired,
+    /// Whether the client is still connected cannot be seen.
+    ClientUnknown,
 }
 
 impl Denial {
@@ -43,6 +46,7 @@
         "not_repeatable",
         "outside_group",
         "window_over",
+        "client_unknown",
     ];
 
     /// Returns the index of the denial in [`Denial::LABELS`].
@@ -156,19 +160,27 @@
 /// The state of an attempt that is about to be written.
 #[derive(Debug, Clone, Copy)]
 pub struct PendingWrite {
-    /// Whether the client has disconnected.
-    pub client_left: bool,
+    /// Whether the client is still connected.
+    pub client: ClientPresence,
     /// Whether the backend no longer accepts new requests.
     pub backend_withdrawn: bool,
     /// The attempt's write deadline.
     pub deadline: WriteDeadline,
 }
 
+/// Checks whether work may begin for a client. An attempt for one that has left could be executed
+/// again when the client sends its request anew, so none begins unless the client is surely there.
+pub fn check_client(client: ClientPresence) -> Result<(), Denial> {
+    match client {
+        ClientPresence::Present => Ok(()),
+        ClientPresence::Left => Err(Denial::ClientLeft),
+        ClientPresence::Unknown => Err(Denial::ClientUnknown),
+    }
+}
+
 /// Checks whether an attempt may be written now; returns the rule that denies it otherwise.
 pub fn check_write(write: PendingWrite, now: Instant) -> Result<(), Denial> {
-    if write.client_left {
-        return Err(Denial::ClientLeft);
-    }
+    check_client(write.client)?;
     if write.backend_withdrawn {
         return Err(Denial::BackendWithdrawn);
     }
--- a/crates/heathroad/tests/departures.rs
+++ b/crates/heathroad/tests/departures.rs
@@ -133,6 +133,57 @@
     }
 }
 
+/// Padding of a request, in bytes.
+const PADDING: usize = 3000;
+/// Pipelined requests that no buffer for input holds; with their padding, 3.7 MB.
+const PIPELINED: usize = 1200;
+
+/// Returns the statuses of a pipeline's responses, which have short bodies or none.
+fn statuses(responses: &[u8]) -> Vec<String> {
+    let text = String::from_utf8_lossy(responses);
+    let statuses = text.split("HTTP/1.1 ").skip(1);
+    statuses.map(|response| response[..3].to_string()).collect()
+}
+
+/// A client that is there, but sends more than is read ahead, is answered all the same: what is not
+/// sent on is rejected.
+#[tokio::test]
+async fn a_client_whose_end_could_not_be_seen_is_rejected() {
+    let orders = Arc::new(Orders::default());
+    let backend = Backend::start("a", &orders).await;
+    let discovery = Discovery::start(vec![backend.line("SERVING")]).await;
+    let proxy = Proxy::settled(&discovery, settings()).await;
+    discovery.tell(vec![]).await;
+    let stream = client(proxy.addr).await;
+    let (mut reader, mut writer) = stream.into_split();
+    let padding = format!("X-Padding: {}\r\n\r\n", "p".repeat(PADDING));
+    let text: String = (0..PIPELINED)
+        .map(|id| {
+            raw_request("look", &id.to_string(), 60_000).replacen("\r\n\r\n", "\r\n", 1) + &padding
+        })
+        .collect();
+    let writing = tokio::spawn(async move {
+        writer.write_all(text.as_bytes()).await.expect("open");
+        writer
+    });
+    sleep(DISPATCH_TIME).await;
+    discovery.tell(vec![backend.line("SERVING")]).await;
+    let mut responses = Vec::new();
+    while statuses(&responses).len() < PIPELINED {
+        let read = soon(reader.read_buf(&mut responses)).await;
+        assert_ne!(read.expect("open"), 0);
+    }
+    let statuses = statuses(&responses);
+    assert_eq!(statuses[0], "503", "its client could have left");
+    assert_eq!(statuses[PIPELINED - 1], "200", "nothing lies behind it");
+    let served: Vec<String> = (0..PIPELINED)
+        .filter(|id| statuses[*id] == "200")
+        .map(|id| id.to_string())
+        .collect();
+    assert_eq!(ids_seen(&orders), served);
+    drop(soon(writing).await);
+}
+
 /// How the first request under an id ends while its attempt is out.
 #[derive(Clone, Copy, Debug)]
 enum FirstEnd {
--- a/crates/heathroad/tests/unit/engine.rs
+++ b/crates/heathroad/tests/unit/engine.rs
@@ -6,7 +6,9 @@
 use crate::backend::{Call, Limits, http};
 use crate::discovery::endpoint_list::{Instance, InstanceHealth};
 use crate::runtime_accounting::spawn_local;
-use crate::safety::{ClientConnection, ClientHandle, Denial, Location, PastAttempt, violations};
+use crate::safety::{
+    ClientConnection, ClientHandle, ClientPresence, Denial, Location, PastAttempt, violations,
+};
 use bytes::Bytes;
 use heathroad_balancer::api::{Outcome, UpdateKind};
 use std::time::Duration;
@@ -133,14 +135,14 @@
         .await;
 }
 
-/// A client that stays, or has left.
+/// A client of whom this is known.
 struct TestClient {
-    has_left: Cell<bool>,
+    presence: Cell<ClientPresence>,
 }
 
 impl ClientConnection for TestClient {
-    fn has_left(&self) -> bool {
-        self.has_left.get()
+    fn presence(&self) -> ClientPresence {
+        self.presence.get()
     }
 }
 
@@ -205,17 +207,21 @@
     }
 }
 
-/// The client may leave between the decision and the attempt.
+/// The client may leave between the decision and the attempt, or hide its end behind more input.
 #[tokio::test]
 async fn no_attempt_is_begun_for_a_client_that_has_left() {
     LocalSet::new()
         .run_until(async {
             let (engine, listener) = engine_with_backend().await;
-            for (left, is_sent) in [(true, false), (false, true)] {
+            for (presence, denial) in [
+                (ClientPresence::Left, Some(Denial::ClientLeft)),
+                (ClientPresence::Unknown, Some(Denial::ClientUnknown)),
+                (ClientPresence::Present, None),
+            ] {
                 let client = Rc::new(TestClient {
-                    has_left: Cell::new(left),
+                    presence: Cell::new(presence),
                 });
-                let before = violations::denials()[Denial::ClientLeft.index()];
+                let before = violations::denials();
                 let call = incoming(Instant::now(), Duration::from_secs(20));
                 let handle = Some(ClientHandle::new(&client));
                 let engine = engine.clone();
@@ -223,10 +229,18 @@
                     spawn_local(async move { engine.handle_request(call, handle).await.response });
                 let connected =
                     tokio::time::timeout(Duration::from_millis(200), listener.accept()).await;
-                assert_eq!(connected.is_ok(), is_sent, "client left: {left}");
-                let denied = violations::denials()[Denial::ClientLeft.index()] - before;
-                assert_eq!(denied, u64::from(left));
-                handling.abort();
+                assert_eq!(connected.is_ok(), denial.is_none(), "{presence:?}");
+                let mut expected = before;
+                if let Some(denial) = denial {
+                    expected[denial.index()] += 1;
+                }
+                assert_eq!(violations::denials(), expected);
+                if presence == ClientPresence::Unknown {
+                    let response = handling.await.expect("no panic");
+                    assert!(matches!(response, Response::Rejected { .. }));
+                } else {
+                    handling.abort();
+                }
             }
         })
         .await;
--- a/crates/heathroad/tests/unit/safety_rules.rs
+++ b/crates/heathroad/tests/unit/safety_rules.rs
@@ -1,7 +1,7 @@
 //! Unit tests of the safety rules.
 
 use super::*;
-use crate::safety::Violation;
+use crate::safety::{ClientPresence, Violation};
 
 const FIRST: Location = Location { zone: 1, cell: 7 };
 const SAME_ZONE: Location = Location { zone: 1, cell: 8 };
@@ -213,7 +213,7 @@
 fn a_write_needs_a_client_a_backend_and_time() {
     let now = Instant::now();
     let fine = PendingWrite {
-        client_left: false,
+        client: ClientPresence::Present,
         backend_withdrawn: false,
         deadline: None,
     };
@@ -221,13 +221,23 @@
     assert_eq!(
         check_write(
             PendingWrite {
-                client_left: true,
+                client: ClientPresence::Left,
                 ..fine
             },
             now
         ),
         Err(Denial::ClientLeft)
     );
+    assert_eq!(
+        check_write(
+            PendingWrite {
+                client: ClientPresence::Unknown,
+                ..fine
+            },
+            now
+        ),
+        Err(Denial::ClientUnknown)
+    );
     assert_eq!(
         check_write(
             PendingWrite {
