HTTP: an id stays taken while a request under it may have run without an answer

Cause: an id was taken for as long as the task of its connection lived; its attempt lives on after that, and what has run has run.

The engine now records, when a request ends, whether an attempt of it may have run (written whole, and no end that proves the contrary). A rejection frees it, since it promises that a retry is harmless; so does a response that a client was there for.

--- a/crates/heathroad/src/backend/attempt.rs
+++ b/crates/heathroad/src/backend/attempt.rs
@@ -106,6 +106,11 @@
             .map_or(self.written.get(), |progress| progress.written())
     }
 
+    /// Returns whether the request is completely written, so that the backend may execute it.
+    pub fn is_fully_written(&self) -> bool {
+        self.written() == Written::Complete
+    }
+
     /// Returns the outcome of an attempt that has timed out or is cancelled to at least the given
     /// degree.
     fn abort_outcome(&self, has_timed_out: bool, min: Cancellation) -> Option<Outcome> {
@@ -170,7 +175,7 @@
             Ok(result) => return report(result),
             Err(outcome) => outcome,
         };
-        if control.written() != Written::Complete {
+        if !control.is_fully_written() {
             // Closes the connection, if there is one, so that no backend receives the rest of the
             // request.
             exchange.set(None);
@@ -197,7 +202,7 @@
         let has_timed_out = timer.as_mut().poll(cx).is_ready();
         // Checked before each poll of the exchange, so that an abandoned request is not written
         // further.
-        let is_fully_written = control.written() == Written::Complete;
+        let is_fully_written = control.is_fully_written();
         let abandoned = control.abort_outcome(has_timed_out, Cancellation::Abandoned);
         if let Some(outcome) = abandoned.filter(|_| !is_fully_written) {
             return Poll::Ready(Err(outcome));
--- a/crates/heathroad/src/engine/attempt.rs
+++ b/crates/heathroad/src/engine/attempt.rs
@@ -27,6 +27,17 @@
     pub(super) in_flight: Option<InFlightAttempt>,
 }
 
+impl AttemptRecord {
+    /// Returns whether the attempt may have been executed, or may still be: not if it is abandoned
+    /// before it is fully written.
+    pub(super) fn may_have_run(&self) -> bool {
+        match &self.in_flight {
+            Some(in_flight) => in_flight.control.is_fully_written(),
+            None => self.past.may_have_run(),
+        }
+    }
+}
+
 /// The state of an attempt until it reports its result.
 pub(super) struct InFlightAttempt {
     pub(super) control: Rc<AttemptControl>,
--- a/crates/heathroad/src/engine/request.rs
+++ b/crates/heathroad/src/engine/request.rs
@@ -9,7 +9,7 @@
 use crate::membership::activity_log;
 use crate::metrics::ResponseKind;
 use crate::retry_budget::RequestBudget;
-use crate::safety::{self, ClientHandle, PastAttempt, Violation, violations};
+use crate::safety::{self, ClientHandle, PastAttempt, UncertainExecution, Violation, violations};
 use crate::time::{as_millis, millis};
 use heathroad_balancer::api::{Event, Idempotency, Outcome, RequestArrival, RequestId};
 use heathroad_membership::activity_record::Activity;
@@ -38,6 +38,9 @@
     pub budget: Option<RequestBudget>,
     /// Records the request's activities, if activities are recorded.
     pub activity: Option<activity_log::RequestActivity>,
+    /// Receives whether the request may have been executed, once it has ended. A served request
+    /// counts as executed until the frontend has its response.
+    pub execution: UncertainExecution,
 }
 
 impl IncomingRequest {
@@ -82,6 +85,7 @@
     pub(super) last_outcome: Option<Outcome>,
     pub(super) budget: Option<RequestBudget>,
     pub(super) activity: Option<activity_log::RequestActivity>,
+    pub(super) execution: UncertainExecution,
 }
 
 impl OpenRequest {
@@ -90,6 +94,10 @@
         let Some(pending) = self.close() else {
             return false;
         };
+        if matches!(response, Response::Rejected { .. }) {
+            // The client is told that a retry is safe.
+            self.execution.set(false);
+        }
         // After failed attempts, retries by upstream tiers cannot succeed.
         let has_failed = !matches!(response, Response::Served(_)) && !self.attempts.is_empty();
         let budget = self.budget.as_ref();
@@ -115,6 +123,8 @@
         let ResponseState::Pending(pending) = response else {
             return None;
         };
+        self.execution
+            .set(self.attempts.iter().any(AttemptRecord::may_have_run));
         let in_flight = self
             .attempts
             .iter()
@@ -269,6 +279,7 @@
             last_outcome: None,
             budget: incoming.budget,
             activity: incoming.activity,
+            execution: incoming.execution,
         };
         self.state.borrow_mut().requests.insert(request, open);
     }
--- a/crates/heathroad/src/frontend/connections.rs
+++ b/crates/heathroad/src/frontend/connections.rs
@@ -2,15 +2,15 @@
 //! connection to close when the limit is reached.
 
 use super::read_ahead::ReadAheadStream;
+use super::request_ids::RequestIds;
 use crate::safety::{
     self, ClientConnection, ClientPresence, ConnectionState, Violation, violations,
 };
 use crate::stall_detector;
 use crate::stream::{Progress, Unread};
-use hyper::header::HeaderValue;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashSet};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -190,8 +190,8 @@
     next_number: Cell<u64>,
     /// Number of descriptors of JSON-RPC listeners and connections.
     other_descriptors: Cell<usize>,
-    /// IDs of the open requests.
-    pub(super) open_ids: RefCell<HashSet<HeaderValue>>,
+    /// The IDs of requests that are taken.
+    pub(super) request_ids: RequestIds,
     /// Number of requests that wait for their responses.
     pub(super) pending_requests: Cell<usize>,
     /// Bytes buffered for clients.
--- a/crates/heathroad/src/frontend/http/connection.rs
+++ b/crates/heathroad/src/frontend/http/connection.rs
@@ -161,7 +161,7 @@
         let read = self
             .read_request(request, connection, received_at, acceptance.is_trusted)
             .await;
-        let (incoming, _reservation, bound) = match read {
+        let (incoming, reservation, bound) = match read {
             Ok(read) => read,
             Err(error) => {
                 let reply = error.into_reply(&self.settings);
@@ -194,6 +194,10 @@
         );
         let client = Some(ClientHandle::new(connection));
         let decided = bound.engine.handle_request(incoming, client).await;
+        let is_served = matches!(decided.response, engine::Response::Served(_));
+        if is_served && connection.presence() != ClientPresence::Left {
+            reservation.execution.set(false);
+        }
         to_final_reply(connection, decided)
     }
 
--- a/crates/heathroad/src/frontend/http/request.rs
+++ b/crates/heathroad/src/frontend/http/request.rs
@@ -99,7 +99,8 @@
             has_key,
             !body.is_end_stream(),
         )?;
-        // Two open requests with the same ID could not be told apart.
+        // Two open requests with the same ID could not be told apart, and one that may have been
+        // executed could be executed again.
         let reservation = RequestReservation::new(&self.table, headers.id);
         let mut reservation = reservation.ok_or(RequestError::DuplicateId)?;
         let body_deadline = body_deadline(connection, received_at, timeout);
@@ -129,6 +130,7 @@
             timeout,
             budget,
             activity,
+            execution: reservation.execution.clone(),
         };
         Ok((incoming, reservation, bound))
     }
--- a/crates/heathroad/src/frontend/http/response.rs
+++ b/crates/heathroad/src/frontend/http/response.rs
@@ -28,8 +28,8 @@
     /// The request's class requires a different method.
     #[error("method not allowed: expected {0}")]
     MethodNotAllowed(Method),
-    /// A request with the same ID is open.
-    #[error("a request with the same ID is open")]
+    /// A request with the same ID is open or may have been executed.
+    #[error("a request with the same ID is open or may have been executed")]
     DuplicateId,
     /// There is no buffer space for the request's body.
     #[error("no buffer space for the request body")]
--- a/crates/heathroad/src/frontend/jsonrpc/call.rs
+++ b/crates/heathroad/src/frontend/jsonrpc/call.rs
@@ -9,6 +9,7 @@
 use crate::metrics::ResponseKind;
 use crate::retry_budget::{RequestBudget, read_jsonrpc_claim};
 use crate::router::RoutingRequest;
+use crate::safety::UncertainExecution;
 use bytes::Bytes;
 use heathroad_balancer::api::Idempotency;
 use heathroad_jsonrpc::message::{
@@ -135,6 +136,7 @@
             timeout,
             budget,
             activity: bound.activity.clone(),
+            execution: UncertainExecution::default(),
         };
         Ok(BoundCall {
             id,
--- a/crates/heathroad/src/frontend/mod.rs
+++ b/crates/heathroad/src/frontend/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`connections`] tracks client connections; `reservations` tracks the other resources that
 //!   clients hold.
+//! - `request_ids` tells under which IDs a request may be sent.
 //! - `read_ahead` detects a client's disconnect while its request is pending.
 //! - `batch_concurrency` limits the concurrent calls of a connection's batches.
 
@@ -10,6 +11,7 @@
 pub mod http;
 pub mod jsonrpc;
 mod read_ahead;
+mod request_ids;
 mod reservations;
 
 #[cfg(test)]
--- a/crates/heathroad/src/frontend/reservations.rs
+++ b/crates/heathroad/src/frontend/reservations.rs
@@ -2,6 +2,7 @@
 //! requests, and pending requests. Each guard releases its resource on drop.
 
 use super::connections::ConnectionTable;
+use crate::safety::UncertainExecution;
 use hyper::header::HeaderValue;
 use std::rc::Rc;
 
@@ -51,15 +52,18 @@
 pub struct RequestReservation {
     /// The buffer space of the body.
     pub body: BufferReservation,
+    /// Whether the request may have been executed when the reservation ends, so that its ID stays
+    /// taken.
+    pub execution: UncertainExecution,
     id: HeaderValue,
 }
 
 impl RequestReservation {
-    /// Reserves an ID; returns `None` if a request with this ID is open.
+    /// Reserves an ID; returns `None` if it is taken.
     pub fn new(table: &Rc<ConnectionTable>, id: &HeaderValue) -> Option<RequestReservation> {
-        let is_unused = table.open_ids.borrow_mut().insert(id.clone());
-        is_unused.then(|| RequestReservation {
+        table.request_ids.open(id).then(|| RequestReservation {
             body: BufferReservation::new(table),
+            execution: UncertainExecution::default(),
             id: id.clone(),
         })
     }
@@ -67,7 +71,8 @@
 
 impl Drop for RequestReservation {
     fn drop(&mut self) {
-        self.body.table.open_ids.borrow_mut().remove(&self.id);
+        let may_have_run = self.execution.may_have_run();
+        self.body.table.request_ids.close(&self.id, may_have_run);
     }
 }
 
--- a/crates/heathroad/src/safety/client.rs
+++ b/crates/heathroad/src/safety/client.rs
@@ -1,5 +1,6 @@
-//! Detection of disconnected clients.
+//! What is known of clients, and what clients know of their requests.
 
+use std::cell::Cell;
 use std::rc::{Rc, Weak};
 
 /// What is known of a client.
@@ -36,3 +37,20 @@
         connection.map_or(ClientPresence::Left, |connection| connection.presence())
     }
 }
+
+/// Whether a request may have been executed although its client got no response that says so. The
+/// engine sets it when the request ends; the frontend reads it when it releases the request.
+#[derive(Clone, Default)]
+pub struct UncertainExecution(Rc<Cell<bool>>);
+
+impl UncertainExecution {
+    /// Records whether the request may have been executed.
+    pub fn set(&self, may_have_run: bool) {
+        self.0.set(may_have_run);
+    }
+
+    /// Returns whether the request may have been executed.
+    pub fn may_have_run(&self) -> bool {
+        self.0.get()
+    }
+}
--- a/crates/heathroad/src/safety/mod.rs
+++ b/crates/heathroad/src/safety/mod.rs
@@ -6,14 +6,14 @@
 //! may have been handled together. Decisions that violate a rule are denied, logged and counted.
 //!
 //! - `rules` implements the rules as pure functions.
-//! - `client` detects disconnected clients.
+//! - `client` tells what is known of clients and of the execution of their requests.
 //! - [`violations`] counts and logs denials and violations.
 
 mod client;
 mod rules;
 pub mod violations;
 
-pub use client::{ClientConnection, ClientHandle, ClientPresence};
+pub use client::{ClientConnection, ClientHandle, ClientPresence, UncertainExecution};
 pub use rules::{
     ConnectionState, DENIAL_KINDS, Denial, Location, PastAttempt, PendingWrite, WriteDeadline,
     check_client, check_retry, check_write, may_close, may_have_run, may_reject, retry_window,
--- a/crates/heathroad/src/safety/rules.rs
+++ b/crates/heathroad/src/safety/rules.rs
@@ -77,7 +77,7 @@
 
 impl PastAttempt {
     /// Returns whether the attempt may have been executed or may still be executed.
-    fn may_have_run(&self) -> bool {
+    pub fn may_have_run(&self) -> bool {
         !self.outcome.is_some_and(Outcome::never_executed)
     }
 }
