HTTP: a request needs one valid Host, and no key where its class has none

Requests that HTTP or the protocol forbid were served: no Host line, two of them, a malformed one; a second or an empty Idempotency-Key for a class that may not be repeated.

They are answered 400 now; HTTP/1.0 may do without Host. heads_that_are_not_sound_reach_no_backend failed with 200 on the first of its cases. One of its cases was wrong: a Content-Length twice with the same value, which Hyper merges, as RFC 9112, 6.3 allows; the test now sends two values. proxy, endings, budgets and routes pass.

--- a/crates/heathroad/src/frontend/http/request.rs
+++ b/crates/heathroad/src/frontend/http/request.rs
@@ -19,7 +19,8 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
-use hyper::{Method, Request, StatusCode, Uri};
+use hyper::http::uri::Authority;
+use hyper::{Method, Request, StatusCode, Uri, Version};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -73,6 +74,25 @@
     }
 }
 
+/// The idempotency key of a request.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum KeyHeader {
+    Absent,
+    Valid,
+    /// The header is repeated or empty.
+    Invalid,
+}
+
+impl KeyHeader {
+    fn read(all: &HeaderMap, known: &ProtocolHeaders<'_>) -> KeyHeader {
+        match known.idempotency_key {
+            Some(_) => KeyHeader::Valid,
+            None if all.contains_key(&IDEMPOTENCY_KEY) => KeyHeader::Invalid,
+            None => KeyHeader::Absent,
+        }
+    }
+}
+
 impl HttpFrontend {
     /// Reads and validates a complete request.
     pub(super) async fn read_request(
@@ -92,13 +112,9 @@
         let timeout = bound
             .deadline
             .map_or(timeout, |deadline| timeout.min(deadline));
-        let has_key = headers.idempotency_key.is_some();
-        check_method(
-            bound.idempotency,
-            &head.method,
-            has_key,
-            !body.is_end_stream(),
-        )?;
+        let key_header = KeyHeader::read(&head.headers, &headers);
+        let has_body = !body.is_end_stream();
+        check_method(bound.idempotency, &head.method, key_header, has_body)?;
         // Two open requests with the same ID could not be told apart, and one that may have been
         // executed could be executed again.
         let reservation = RequestReservation::new(&self.table, headers.id);
@@ -148,6 +164,9 @@
         if head.headers.contains_key(TRANSFER_ENCODING) {
             return Err(RequestError::Malformed(StatusCode::LENGTH_REQUIRED));
         }
+        if !has_valid_host(head) {
+            return Err(BAD_REQUEST);
+        }
         let path = head.uri.path().trim_start_matches('/');
         let class = path.split('/').next().unwrap_or_default();
         if !self.router.serves(class) {
@@ -235,6 +254,16 @@
     (started_at + MESSAGE_TIMEOUT).min(received_at + timeout)
 }
 
+/// Returns whether a head has one valid `Host` line, as HTTP/1.1 requires (RFC 9112, section 3.2).
+fn has_valid_host(head: &Parts) -> bool {
+    let mut hosts = head.headers.get_all(HOST).iter();
+    let Some(host) = hosts.next() else {
+        return head.version == Version::HTTP_10;
+    };
+    let is_valid = host.is_empty() || Authority::try_from(host.as_bytes()).is_ok();
+    is_valid && hosts.next().is_none()
+}
+
 /// Returns the key in a request's query.
 fn key_parameter(uri: &Uri) -> Option<&str> {
     let mut parameters = uri.query()?.split('&');
@@ -246,7 +275,7 @@
 fn check_method(
     idempotency: Idempotency,
     method: &Method,
-    has_key: bool,
+    key_header: KeyHeader,
     has_body: bool,
 ) -> Result<(), RequestError> {
     let is_idempotent = matches!(idempotency, Idempotency::Idempotent);
@@ -260,8 +289,8 @@
     }
     let is_valid = match idempotency {
         Idempotency::Idempotent => !has_body,
-        Idempotency::Deduplicated { .. } => has_key,
-        Idempotency::NonIdempotent => !has_key,
+        Idempotency::Deduplicated { .. } => key_header == KeyHeader::Valid,
+        Idempotency::NonIdempotent => key_header == KeyHeader::Absent,
     };
     if is_valid { Ok(()) } else { Err(BAD_REQUEST) }
 }
--- a/crates/heathroad/tests/hostile_clients.rs
+++ b/crates/heathroad/tests/hostile_clients.rs
@@ -48,15 +48,15 @@
         ("other hosts", get("Host: o\r\nHost: p\r\n")),
         ("odd host", get("Host: a b/..@\r\n")),
         (
-            "length twice",
+            "two lengths",
             post(
                 "once",
-                &format!("{host}Content-Length: 0\r\nContent-Length: 0\r\n"),
+                &format!("{host}Content-Length: 0\r\nContent-Length: 1\r\n"),
             ),
         ),
         (
-            "length twice on a GET",
-            get(&format!("{host}Content-Length: 0\r\nContent-Length: 0\r\n")),
+            "two lengths on a GET",
+            get(&format!("{host}Content-Length: 0\r\nContent-Length: 1\r\n")),
         ),
         (
             "two keys",
