JSON-RPC: incomplete texts, queued calls and unwritten answers count as buffered

Cause: the clients' buffer space was taken for the text of a complete message alone. What is read of an incomplete one, what a call needs besides its text, and answers that wait to be written were counted nowhere.

All three reserve their space now. 16 KiB of input and of output a connection need none, so that short calls are read and answered whatever others hold. Without space, an incomplete text ends its connection's input, a batch is rejected as a whole (-32001, id null), and no further call is started until answers are written.

--- a/crates/heathroad-jsonrpc/src/framing.rs
+++ b/crates/heathroad-jsonrpc/src/framing.rs
@@ -145,6 +145,13 @@
         &mut self.buffer
     }
 
+    /// Releases the memory of an empty buffer that has grown.
+    pub fn release_unused(&mut self) {
+        if self.buffer.is_empty() && self.buffer.capacity() > BUFFER_GROWTH_BYTES {
+            self.buffer = BytesMut::new();
+        }
+    }
+
     /// Returns the number of bytes that belong to no returned text.
     pub fn buffered_bytes(&self) -> usize {
         self.buffer.len()
--- a/crates/heathroad/src/frontend/jsonrpc/connection.rs
+++ b/crates/heathroad/src/frontend/jsonrpc/connection.rs
@@ -5,6 +5,7 @@
 use super::exchange::{BoundCall, Exchanges, FinishedCall};
 use super::listener::{IdleState, ListenerServer};
 use super::message_reader::{InputError, MessageReader};
+use super::output_buffer::OutputBuffer;
 use super::stream_io::{close, read_or_wait};
 use crate::frontend::batch_concurrency::BatchConcurrency;
 use crate::frontend::connections::{FIRST_REQUEST_GRACE, MESSAGE_TIMEOUT};
@@ -12,7 +13,7 @@
 use crate::stall_detector;
 use crate::stream::peek;
 use crate::time::millis;
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::Bytes;
 use heathroad_jsonrpc::write;
 use heathroad_routing::config::Listener;
 use std::cell::Cell;
@@ -28,8 +29,6 @@
 
 /// Timeout of writing answers without progress.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Size of the output buffer, in bytes, from which no further calls are started.
-const MAX_OUTPUT: usize = 256 * 1024;
 /// Maximum time that input stays unread at the limit of running calls. After that, further calls
 /// are read and rejected.
 const MAX_UNREAD_WAIT: Duration = Duration::from_millis(250);
@@ -67,16 +66,15 @@
 /// The state of a connection's task.
 pub(super) struct Session {
     pub(super) client: Rc<Client>,
-    messages: MessageReader,
+    pub(super) messages: MessageReader,
     pub(super) exchanges: Exchanges,
     calls: JoinSet<FinishedCall>,
     concurrency: BatchConcurrency,
-    /// Bytes to be written.
-    output: BytesMut,
+    output: OutputBuffer,
     /// The answer to a decoding error or timeout, written after all others.
     last_answer: Option<Bytes>,
     /// Whether reading has ended.
-    has_input_ended: bool,
+    pub(super) has_input_ended: bool,
     /// When input, output or an answer last made progress.
     last_activity: Instant,
     /// At the limit of running calls, until when input stays unread.
@@ -130,12 +128,14 @@
 impl Session {
     fn new(client: Rc<Client>) -> Session {
         let (listener, now) = (client.listener(), Instant::now());
+        let frontend = client.frontend();
+        let (table, max_buffered_bytes) = (&frontend.table, frontend.max_buffered_bytes);
         Session {
-            messages: MessageReader::new(listener, now),
+            messages: MessageReader::new(listener, table, max_buffered_bytes, now),
             exchanges: Exchanges::default(),
             calls: JoinSet::new(),
             concurrency: BatchConcurrency::new(listener.max_concurrent_calls as usize),
-            output: BytesMut::new(),
+            output: OutputBuffer::new(table, max_buffered_bytes),
             last_answer: None,
             has_input_ended: false,
             last_activity: now,
@@ -159,6 +159,7 @@
             self.reject_overdue_calls(now);
             self.start_calls(now).await;
             self.write_finished_answers();
+            self.reserve_input();
             if self.is_finished(reader) {
                 return SessionEnd::Finished;
             }
@@ -166,7 +167,7 @@
             idle.since.set(wait.is_idle.then_some(self.last_activity));
             tokio::select! {
                 biased;
-                written = writer.write(&self.output), if !self.output.is_empty() => {
+                written = writer.write(self.output.bytes()), if !self.output.is_empty() => {
                     let Ok(bytes @ 1..) = written else { return SessionEnd::Disconnected };
                     runtime_accounting::wrote();
                     self.output.advance(bytes);
@@ -218,8 +219,9 @@
     fn write_finished_answers(&mut self) {
         let listener = self.client.listener();
         let (in_order, framing) = (listener.ordered_responses, listener.framing);
-        self.exchanges
-            .write_finished(in_order, framing, &mut self.output);
+        let exchanges = &mut self.exchanges;
+        self.output
+            .append(|output| exchanges.write_finished(in_order, framing, output));
     }
 
     /// Returns whether another message may be decoded, after the answers that free capacity.
@@ -232,7 +234,7 @@
 
     /// Starts waiting calls and decodes further messages while there is capacity.
     async fn start_calls(&mut self, now: Instant) {
-        while self.output.len() < MAX_OUTPUT {
+        while self.output.has_capacity() {
             let has_capacity =
                 self.calls.len() < self.client.listener().max_concurrent_calls as usize;
             self.unread_until = match has_capacity {
@@ -271,7 +273,7 @@
     }
 
     /// Stops reading after an error, which `last_answer` reports to the client.
-    fn abort_input(&mut self, error: InputError) {
+    pub(super) fn abort_input(&mut self, error: InputError) {
         self.last_answer = Some(error.to_answer());
         self.log_input_end(Some(error));
         self.has_input_ended = true;
@@ -294,11 +296,9 @@
             return false;
         }
         if let Some(last_answer) = self.last_answer.take() {
-            write::frame(
-                self.client.listener().framing,
-                &last_answer,
-                &mut self.output,
-            );
+            let framing = self.client.listener().framing;
+            self.output
+                .append(|output| write::frame(framing, &last_answer, output));
         }
         self.output.is_empty()
     }
@@ -320,7 +320,7 @@
             && self.messages.is_drained()
             && unread_until.is_none()
             && self.exchanges.has_capacity(self.client.listener())
-            && self.output.len() < MAX_OUTPUT;
+            && self.output.has_capacity();
         let is_receiving = self.messages.update_timer(reads, now);
         let is_idle = self.is_quiescent() && self.output.is_empty() && !is_receiving;
         let deadline = self.deadline(is_idle, now);
--- a/crates/heathroad/src/frontend/jsonrpc/exchange.rs
+++ b/crates/heathroad/src/frontend/jsonrpc/exchange.rs
@@ -54,6 +54,24 @@
 }
 
 impl Exchange {
+    /// Returns an exchange without calls and answers.
+    pub(super) fn new(
+        number: u64,
+        is_batch: bool,
+        reject_at: Instant,
+        reservation: BufferReservation,
+    ) -> Exchange {
+        Exchange {
+            number,
+            is_batch,
+            waiting: VecDeque::new(),
+            running: 0,
+            answers: Vec::new(),
+            reject_at,
+            reservation,
+        }
+    }
+
     fn is_finished(&self) -> bool {
         self.running == 0 && self.waiting.is_empty()
     }
--- a/crates/heathroad/src/frontend/jsonrpc/message_reader.rs
+++ b/crates/heathroad/src/frontend/jsonrpc/message_reader.rs
@@ -1,11 +1,14 @@
 //! Decodes the messages of a JSON-RPC connection and records when they arrived.
 
 use super::answer;
+use crate::frontend::connections::ConnectionTable;
+use crate::frontend::reservations::BufferReservation;
 use crate::time::as_millis;
 use bytes::{Bytes, BytesMut};
 use heathroad_jsonrpc::message::{NULL_ID, PARSE_ERROR, RequestError};
 use heathroad_jsonrpc::{Decoder, FramingError, Limits};
 use heathroad_routing::config::Listener;
+use std::rc::Rc;
 use tokio::time::Instant;
 
 /// Maximum nesting depth of a message.
@@ -14,6 +17,11 @@
 const BAD_REQUEST: u16 = 400;
 /// HTTP status under which messages that do not arrive in time are counted.
 const REQUEST_TIMEOUT: u16 = 408;
+/// HTTP status under which messages without buffer space are counted.
+pub(super) const UNAVAILABLE: u16 = 503;
+/// Size up to which the buffer needs no reservation, in bytes, so that short messages can always be
+/// read.
+const UNRESERVED_INPUT: usize = 16 * 1024;
 
 /// Why a client's input is not read any further.
 #[derive(Debug, Clone, Copy)]
@@ -22,6 +30,8 @@
     Framing(FramingError),
     /// A message did not arrive completely in time.
     Late,
+    /// There is no buffer space for the rest of a message.
+    NoBufferSpace,
 }
 
 impl InputError {
@@ -30,6 +40,7 @@
         match self {
             InputError::Framing(_) => BAD_REQUEST,
             InputError::Late => REQUEST_TIMEOUT,
+            InputError::NoBufferSpace => UNAVAILABLE,
         }
     }
 
@@ -42,6 +53,7 @@
                 expected: "a whole text within 2 s",
                 id: NULL_ID,
             }),
+            InputError::NoBufferSpace => answer::answer(&NULL_ID, &answer::rejected(None)),
         }
     }
 }
@@ -58,11 +70,19 @@
     last_message_at: Instant,
     /// When the partially received message started: the first bytes behind the last complete one.
     started_at: Option<Instant>,
+    reservation: BufferReservation,
+    /// Maximum number of bytes buffered for all clients.
+    max_buffered_bytes: usize,
 }
 
 impl MessageReader {
     /// Returns the reader of a connection that was accepted at `now`.
-    pub(super) fn new(listener: &Listener, now: Instant) -> MessageReader {
+    pub(super) fn new(
+        listener: &Listener,
+        table: &Rc<ConnectionTable>,
+        max_buffered_bytes: usize,
+        now: Instant,
+    ) -> MessageReader {
         let limits = Limits {
             max_text_bytes: listener.max_message_bytes,
             max_depth: MAX_DEPTH,
@@ -74,9 +94,21 @@
             messages: 0,
             last_message_at: now,
             started_at: None,
+            reservation: BufferReservation::new(table),
+            max_buffered_bytes,
         }
     }
 
+    /// Reserves the buffer with space for a read; returns whether it succeeded.
+    pub(super) fn reserve_buffer(&mut self) -> bool {
+        self.decoder.release_unused();
+        let needed = self.decoder.buffer().capacity();
+        self.reservation.resize(
+            needed.saturating_sub(UNRESERVED_INPUT),
+            self.max_buffered_bytes,
+        )
+    }
+
     /// Returns the buffer for received bytes.
     pub(super) fn buffer(&mut self) -> &mut BytesMut {
         self.decoder.buffer()
--- a/crates/heathroad/src/frontend/jsonrpc/mod.rs
+++ b/crates/heathroad/src/frontend/jsonrpc/mod.rs
@@ -7,6 +7,7 @@
 //! - `listener` accepts the connections of one listener.
 //! - `connection` is the task of a connection; `message_reader` decodes its messages, `intake`
 //!   accepts them, and `stream_io` reads from and closes its stream.
+//! - `output_buffer` holds the unwritten answers.
 //! - `exchange` queues the calls of a connection's messages and collects their answers.
 //! - `call` binds a call and runs it through the engine; `answer` builds the answers.
 
@@ -17,6 +18,7 @@
 mod intake;
 mod listener;
 mod message_reader;
+mod output_buffer;
 mod stream_io;
 
 use super::connections::ConnectionTable;
--- a/crates/heathroad/src/frontend/reservations.rs
+++ b/crates/heathroad/src/frontend/reservations.rs
@@ -33,6 +33,19 @@
         is_reserved
     }
 
+    /// Changes the reservation to `bytes`, unless the total of all clients would exceed `limit`;
+    /// returns whether it succeeded.
+    pub fn resize(&mut self, bytes: usize, limit: usize) -> bool {
+        match bytes.checked_sub(self.bytes) {
+            Some(0) => true,
+            Some(growth) => self.try_grow(growth, limit),
+            None => {
+                self.shrink_to(bytes);
+                true
+            }
+        }
+    }
+
     /// Releases all but `bytes` of the reservation.
     pub fn shrink_to(&mut self, bytes: usize) {
         let released = self.bytes.saturating_sub(bytes);
