JSON-RPC: a connection's task yields after every 16 messages

Cause: decoding and answering need no I/O, so the task of that connection never returned to the reactor before its buffer of answers was full, and LocalSet polls such a task up to 61 times before the reactor is asked again.

--- a/crates/heathroad/src/frontend/jsonrpc/connection.rs
+++ b/crates/heathroad/src/frontend/jsonrpc/connection.rs
@@ -24,11 +24,13 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::sync::watch;
-use tokio::task::JoinSet;
+use tokio::task::{JoinSet, yield_now};
 use tokio::time::Instant;
 
 /// Timeout of writing answers without progress.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Number of messages that are decoded before the task yields.
+const MESSAGES_PER_YIELD: usize = 16;
 /// Maximum time that input stays unread at the limit of running calls. After that, further calls
 /// are read and rejected.
 const MAX_UNREAD_WAIT: Duration = Duration::from_millis(250);
@@ -234,6 +236,7 @@
 
     /// Starts waiting calls and decodes further messages while there is capacity.
     async fn start_calls(&mut self, now: Instant) {
+        let mut decoded = 0;
         while self.output.has_capacity() {
             let has_capacity =
                 self.calls.len() < self.client.listener().max_concurrent_calls as usize;
@@ -253,7 +256,14 @@
                 return;
             }
             match self.messages.next(now) {
-                Ok(Some(text)) => self.accept_message(&text, is_crowded).await,
+                Ok(Some(text)) => {
+                    self.accept_message(&text, is_crowded).await;
+                    decoded += 1;
+                    if decoded % MESSAGES_PER_YIELD == 0 {
+                        // Keeps a fast client from blocking other tasks and the reactor.
+                        yield_now().await;
+                    }
+                }
                 Ok(None) => return,
                 Err(_) if self.has_input_ended => return,
                 Err(error) => return self.abort_input(InputError::Framing(error)),
