Backends: nothing is written for a process whose address another one has

Cause: the check before a write asked whether the old process still has its grace, not whether its address is still its own. The pool now knows the newest process that discovery has named at each address, and denies a write for any other (backend_withdrawn); both protocols ask there. The same process named again, after a drain, is not another one.

--- a/crates/heathroad/src/backend/pool.rs
+++ b/crates/heathroad/src/backend/pool.rs
@@ -50,6 +50,8 @@
     /// The processes in use by name, address and start time. Engines that use the same process
     /// share its connections.
     targets: RefCell<HashMap<(String, SocketAddr, u64), Weak<Target>>>,
+    /// The process at each address: of those that discovery has named there, the newest.
+    address_owners: RefCell<HashMap<SocketAddr, Weak<Target>>>,
     /// Idle HTTP connections by target id, longest idle first.
     pub(super) idle_http: RefCell<FxHashMap<u64, Vec<http::IdleConnection>>>,
     /// All JSON-RPC connections by their far end and framing, including those in use.
@@ -79,6 +81,7 @@
         Pool {
             next_target_id: Cell::default(),
             targets: RefCell::default(),
+            address_owners: RefCell::default(),
             idle_http: RefCell::default(),
             jsonrpc: RefCell::default(),
             slots: Arc::new(Semaphore::new(limits.connections)),
@@ -93,6 +96,12 @@
     /// Returns the target of a backend process. Engines share the target of a process that is in
     /// use and not draining.
     pub fn target(&self, name: &str, address: SocketAddr, started_ms: f64) -> Rc<Target> {
+        let target = self.find_or_add_target(name, address, started_ms);
+        self.claim_address(&target);
+        target
+    }
+
+    fn find_or_add_target(&self, name: &str, address: SocketAddr, started_ms: f64) -> Rc<Target> {
         let mut targets = self.targets.borrow_mut();
         let key = (name.to_string(), address, started_ms.to_bits());
         let known = targets.get(&key).and_then(Weak::upgrade);
@@ -101,11 +110,30 @@
         }
         let id = self.next_target_id.get();
         self.next_target_id.set(id + 1);
-        let target = Rc::new(Target::new(id, address, started_ms));
+        let target = Rc::new(Target::new(id, name, address, started_ms));
         targets.insert(key, Rc::downgrade(&target));
         target
     }
 
+    /// Records a process as the one at its address, unless a newer one is there.
+    fn claim_address(&self, target: &Rc<Target>) {
+        let mut owners = self.address_owners.borrow_mut();
+        let owner = owners.get(&target.address).and_then(Weak::upgrade);
+        let is_newer_there =
+            owner.is_some_and(|owner| !owner.is_draining() && owner.started_ms > target.started_ms);
+        if !is_newer_there {
+            owners.insert(target.address, Rc::downgrade(target));
+        }
+    }
+
+    /// Returns whether another process is known to be at a process's address, so that a connect to
+    /// that address would not reach it.
+    fn is_replaced(&self, target: &Target) -> bool {
+        let owners = self.address_owners.borrow();
+        let owner = owners.get(&target.address).and_then(Weak::upgrade);
+        owner.is_some_and(|owner| !owner.is_same_process(target))
+    }
+
     /// Opens an idle connection to a process if there is none; returns whether there is one now.
     pub async fn ensure_connection(
         self: &Rc<Self>,
@@ -172,6 +200,8 @@
     fn close_unused_connections(&self) {
         let mut targets = self.targets.borrow_mut();
         targets.retain(|_, target| target.strong_count() > 0);
+        let mut owners = self.address_owners.borrow_mut();
+        owners.retain(|_, owner| owner.strong_count() > 0);
         let targets = targets.values().filter_map(Weak::upgrade);
         let used: HashSet<u64> = targets.map(|target| target.id).collect();
         self.idle_http
@@ -292,7 +322,7 @@
         let client = control.client.as_ref();
         let write = PendingWrite {
             client: client.map_or(ClientPresence::Present, ClientHandle::presence),
-            backend_withdrawn: self.is_past_drain_grace(target),
+            backend_withdrawn: self.is_past_drain_grace(target) || self.is_replaced(target),
             deadline: control.write_deadline,
         };
         safety::check_write(write, Instant::now())
--- a/crates/heathroad/tests/unit/backend_pool.rs
+++ b/crates/heathroad/tests/unit/backend_pool.rs
@@ -82,3 +82,38 @@
         })
         .await;
 }
+
+/// A process that discovery names at the address of another one has taken its place: nothing more is
+/// written for the other one, over HTTP or JSON-RPC.
+#[test]
+fn nothing_is_written_to_a_process_whose_address_another_one_has() {
+    let limit = Duration::from_secs(20);
+    let pool = Pool::new(Limits {
+        connections: 4,
+        connect_timeout: limit,
+        idle_timeout: limit,
+        drain_grace: limit,
+        may_duplicate: true,
+    });
+    let address = "127.0.0.1:9".parse().expect("an address");
+    let control = AttemptControl::default();
+    let is_written = |target: &Rc<Target>| pool.check_write(target, &control).is_ok();
+    let old = pool.target("old", address, 5.0);
+    assert!(is_written(&old));
+    old.start_draining(Instant::now());
+    let again = pool.target("old", address, 5.0);
+    assert!(is_written(&old) && is_written(&again), "the same process");
+    let new = pool.target("new", address, 7.0);
+    assert!(is_written(&new));
+    assert!(!is_written(&old) && !is_written(&again));
+    let late = pool.target("late", address, 6.0);
+    assert!(is_written(&new) && !is_written(&late), "the newest counts");
+    new.start_draining(Instant::now());
+    let next = pool.target("next", address, 0.0);
+    assert!(is_written(&next) && !is_written(&new), "it has gone");
+    let restarted = pool.target("next", address, 9.0);
+    assert!(is_written(&restarted) && !is_written(&next));
+    drop((restarted, new, next));
+    pool.close_aged_connections();
+    assert!(pool.address_owners.borrow().is_empty());
+}
