--- a/crates/heathroad/tests/hostile_clients.rs
+++ b/crates/heathroad/tests/hostile_clients.rs
@@ -213,3 +213,42 @@
         assert!(peak < MEMORY_LIMIT, "{name}: {peak} KiB");
     }
 }
+
+/// Requests of one client that say nothing about a backend's health.
+const UNJUDGED: usize = 200;
+
+/// Guards against attempts that count as in flight after backends have turned them down.
+#[tokio::test]
+async fn requests_that_backends_turn_down_leave_room_for_others() {
+    let orders = Arc::new(Orders::default());
+    let backend = Backend::start("a", &orders).await;
+    let discovery = Discovery::start(vec![backend.line("SERVING")]).await;
+    let proxy = Proxy::settled(&discovery, settings()).await;
+    let mut client = proxy.caller().await;
+    for number in 0..UNJUDGED {
+        orders.give([Do::Answer(400)]);
+        assert_eq!(client.call("look").await.0, 502, "request {number}");
+    }
+    assert_eq!(proxy.call("look").await.0, 200);
+}
+
+/// Guards against notifications that count as in flight after they were written.
+#[tokio::test]
+async fn notifications_leave_room_for_calls() {
+    let (script, _nodes, list) = nodes(&["a", "b", "c", "d"]).await;
+    let s = scene(&Plan {
+        nodes: &list,
+        ..Plan::default()
+    })
+    .await;
+    let mut client = s.raw().await;
+    let notification = "{\"jsonrpc\":\"2.0\",\"method\":\"claims.look\"}\n";
+    client.write(notification.repeat(UNJUDGED).as_bytes()).await;
+    script.came(1).await;
+    // Those that came at once have been written or rejected by then.
+    sleep(MAX_WAIT).await;
+    for number in 0..UNJUDGED {
+        let answer = client.call(&call("claims.look", "other", "1")).await;
+        assert_eq!(code(&answer), 0, "call {number}: {answer}");
+    }
+}
