Engine: an attempt that is complete but unjudged ends its late completion too

Cause: both ends are reported as a cancelled attempt, which says nothing of the backend's health. With late completions the decision module counts a cancelled attempt as in flight until its completion is reported, for up to 5 s without it; the engine reported one only for attempts that it had abandoned itself. The module's contract (lib.rs, "one LateCompletion for every attempt that timed out or was cancelled") was broken.

The engine now reports the completion with the end.

--- a/crates/heathroad/src/backend/outcome.rs
+++ b/crates/heathroad/src/backend/outcome.rs
@@ -21,6 +21,12 @@
 }
 
 impl AttemptEnd {
+    /// Returns whether the attempt is complete and says nothing about the backend's health. Such an
+    /// attempt has the outcome of a cancelled one.
+    pub fn is_unjudged(&self) -> bool {
+        matches!(self, AttemptEnd::Rejected | AttemptEnd::NotificationSent)
+    }
+
     /// Returns the outcome that is reported to the decision module.
     pub fn outcome(&self) -> Outcome {
         match self {
--- a/crates/heathroad/src/engine/attempt.rs
+++ b/crates/heathroad/src/engine/attempt.rs
@@ -292,7 +292,8 @@
         number: usize,
         result: AttemptEnd,
     ) {
-        let event = {
+        let is_unjudged = result.is_unjudged();
+        let attempt_result = {
             let state = &mut *self.state.borrow_mut();
             let Some(open) = state.requests.get_mut(&request) else {
                 return;
@@ -328,9 +329,13 @@
             open.respond_with_result(result);
             let attempt_result = id.attempt_result(outcome, elapsed_ms, open);
             state.remove_if_finished(request);
-            Event::AttemptEnded(attempt_result)
+            attempt_result
         };
-        self.notify(event);
+        self.notify(Event::AttemptEnded(attempt_result.clone()));
+        if is_unjudged {
+            // Nothing of the attempt is awaited any more.
+            self.notify(Event::LateCompletion(attempt_result));
+        }
     }
 
     fn count_result(&self, result: &AttemptEnd) {
