--- a/crates/heathroad/tests/departures.rs
+++ b/crates/heathroad/tests/departures.rs
@@ -3,6 +3,8 @@
 
 mod rig;
 
+use rig::rpc::call;
+use rig::rpc_scene::{Plan, nodes, scene};
 use rig::*;
 use serde_json::Value;
 use socket2::SockRef;
@@ -266,3 +268,31 @@
     let seen: Value = ids_seen(&orders).into();
     assert_eq!(seen, serde_json::json!(["held"]));
 }
+
+/// Guards against calls that begin after a reset, which lies behind the unread input of its
+/// connection.
+#[tokio::test]
+async fn no_call_begins_for_a_client_that_reset_during_a_stop() {
+    let (script, _nodes, list) = nodes(&["a", "b"]).await;
+    let mut s = scene(&Plan {
+        nodes: &list,
+        ..Plan::default()
+    })
+    .await;
+    for calls in [1, 20, 300] {
+        let before = script.seen.borrow().len();
+        let mut gone = s.raw().await;
+        gone.call(&call("claims.look", "warm-up", "1")).await;
+        s.proxy.send_signal("-STOP").await;
+        for number in 0..calls {
+            gone.send(&call("claims.once", "left", &number.to_string()))
+                .await;
+        }
+        gone.leave();
+        sleep(STOP_TIME).await;
+        s.proxy.send_signal("-CONT").await;
+        sleep(DISPATCH_TIME).await;
+        let seen = script.seen.borrow().len() - before;
+        assert_eq!(seen, 1, "{calls} calls: what was sent before the stop");
+    }
+}
--- a/crates/heathroad/tests/rig/mod.rs
+++ b/crates/heathroad/tests/rig/mod.rs
@@ -648,6 +648,11 @@
         self.signal("-HUP", says).await;
     }
 
+    /// Returns whether it has ended.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().expect("it ran").is_some()
+    }
+
     pub async fn ended(&mut self) -> ExitStatus {
         soon(self.child.wait()).await.expect("it ran")
     }
