JSON-RPC: calls know their client, and a reset counts before unread input

The connection's task and the tasks of its calls now share the stream. A reset is seen by the reactor's word, after a pause by the socket's own (SO_ERROR), at each turn of the task and in the checks before an attempt is begun and written. The end of the sending side alone is no leave, as before.

--- a/crates/heathroad/src/frontend/http/connection.rs
+++ b/crates/heathroad/src/frontend/http/connection.rs
@@ -195,7 +195,7 @@
         let client = Some(ClientHandle::new(connection));
         let decided = bound.engine.handle_request(incoming, client).await;
         let is_served = matches!(decided.response, engine::Response::Served(_));
-        if is_served && connection.presence() != ClientPresence::Left {
+        if is_served && connection.presence() == ClientPresence::Present {
             reservation.execution.set(false);
         }
         to_final_reply(connection, decided)
--- a/crates/heathroad/src/frontend/jsonrpc/call.rs
+++ b/crates/heathroad/src/frontend/jsonrpc/call.rs
@@ -9,7 +9,7 @@
 use crate::metrics::ResponseKind;
 use crate::retry_budget::{RequestBudget, read_jsonrpc_claim};
 use crate::router::RoutingRequest;
-use crate::safety::UncertainExecution;
+use crate::safety::{ClientHandle, UncertainExecution};
 use bytes::Bytes;
 use heathroad_balancer::api::Idempotency;
 use heathroad_jsonrpc::message::{
@@ -201,7 +201,12 @@
     }
 
     /// Runs a call through the engine.
-    pub(super) async fn run_call(self: Rc<Self>, exchange: u64, call: BoundCall) -> FinishedCall {
+    pub(super) async fn run_call(
+        self: Rc<Self>,
+        exchange: u64,
+        call: BoundCall,
+        client: ClientHandle,
+    ) -> FinishedCall {
         let BoundCall {
             id,
             incoming,
@@ -211,7 +216,7 @@
         let FinalResponse {
             response,
             retries_spent,
-        } = bound.engine.handle_request(incoming, None).await;
+        } = bound.engine.handle_request(incoming, Some(client)).await;
         let is_rejected = matches!(response, Response::Rejected { .. });
         let member = match response {
             Response::Served(member) => member,
--- a/crates/heathroad/src/frontend/jsonrpc/connection.rs
+++ b/crates/heathroad/src/frontend/jsonrpc/connection.rs
@@ -6,12 +6,12 @@
 use super::listener::{IdleState, ListenerServer};
 use super::message_reader::{InputError, MessageReader};
 use super::output_buffer::OutputBuffer;
-use super::stream_io::{close, read_or_wait};
+use super::stream_io::ClientStream;
 use crate::frontend::batch_concurrency::BatchConcurrency;
 use crate::frontend::connections::{FIRST_REQUEST_GRACE, MESSAGE_TIMEOUT};
-use crate::runtime_accounting::{self, sleep_until, spawn_in};
+use crate::runtime_accounting::{sleep_until, spawn_in};
+use crate::safety::{ClientConnection, ClientHandle, ClientPresence};
 use crate::stall_detector;
-use crate::stream::peek;
 use crate::time::millis;
 use bytes::Bytes;
 use heathroad_jsonrpc::write;
@@ -20,9 +20,7 @@
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::sync::watch;
 use tokio::task::{JoinSet, yield_now};
 use tokio::time::Instant;
@@ -68,6 +66,7 @@
 /// The state of a connection's task.
 pub(super) struct Session {
     pub(super) client: Rc<Client>,
+    stream: Rc<ClientStream>,
     pub(super) messages: MessageReader,
     pub(super) exchanges: Exchanges,
     calls: JoinSet<FinishedCall>,
@@ -110,25 +109,23 @@
     /// Serves the connection until it closes.
     pub(super) async fn run(
         self: Rc<Self>,
-        mut stream: TcpStream,
+        stream: TcpStream,
         idle: &IdleState,
         stop: watch::Receiver<bool>,
     ) {
         if stream.set_nodelay(true).is_err() {
             return;
         }
-        let (mut reader, mut writer) = stream.split();
-        let end = Session::new(self)
-            .run(&mut reader, &mut writer, idle, stop)
-            .await;
+        let stream = Rc::new(ClientStream::new(stream));
+        let end = Session::new(self, stream.clone()).run(idle, stop).await;
         if let SessionEnd::Finished = end {
-            close(&mut reader, &mut writer).await;
+            stream.close().await;
         }
     }
 }
 
 impl Session {
-    fn new(client: Rc<Client>) -> Session {
+    fn new(client: Rc<Client>, stream: Rc<ClientStream>) -> Session {
         let (listener, now) = (client.listener(), Instant::now());
         let frontend = client.frontend();
         let (table, max_buffered_bytes) = (&frontend.table, frontend.max_buffered_bytes);
@@ -145,33 +142,31 @@
             arrival: stall_detector::earliest_arrival(now),
             has_read: false,
             first_message_deadline: None,
+            stream,
             client,
         }
     }
 
-    async fn run(
-        mut self,
-        reader: &mut ReadHalf<'_>,
-        writer: &mut WriteHalf<'_>,
-        idle: &IdleState,
-        mut stop: watch::Receiver<bool>,
-    ) -> SessionEnd {
+    async fn run(mut self, idle: &IdleState, mut stop: watch::Receiver<bool>) -> SessionEnd {
+        let stream = self.stream.clone();
         loop {
+            if stream.presence() == ClientPresence::Left {
+                return SessionEnd::Disconnected;
+            }
             let now = Instant::now();
             self.reject_overdue_calls(now);
             self.start_calls(now).await;
             self.write_finished_answers();
             self.reserve_input();
-            if self.is_finished(reader) {
+            if self.is_finished() {
                 return SessionEnd::Finished;
             }
             let wait = self.next_wait(now);
             idle.since.set(wait.is_idle.then_some(self.last_activity));
             tokio::select! {
                 biased;
-                written = writer.write(self.output.bytes()), if !self.output.is_empty() => {
+                written = stream.write(self.output.bytes()), if !self.output.is_empty() => {
                     let Ok(bytes @ 1..) = written else { return SessionEnd::Disconnected };
-                    runtime_accounting::wrote();
                     self.output.advance(bytes);
                     self.last_activity = Instant::now();
                 }
@@ -183,7 +178,7 @@
                     }
                     self.last_activity = Instant::now();
                 }
-                read = read_or_wait(reader, self.messages.buffer(), wait.reads) => match read {
+                read = stream.read_or_wait(self.messages.buffer(), wait.reads) => match read {
                     // The client may have closed only its sending side and still expect answers.
                     Ok(0) => self.end_input().await,
                     Ok(_) => self.record_read(),
@@ -275,9 +270,10 @@
         if self.client.is_stopping.get() {
             self.reject(exchange, call);
         } else {
+            let client = ClientHandle::new(&self.stream);
             spawn_in(
                 &mut self.calls,
-                self.client.clone().run_call(exchange, call),
+                self.client.clone().run_call(exchange, call, client),
             );
         }
     }
@@ -301,8 +297,8 @@
     }
 
     /// Returns whether the connection can be closed. Queues the last answer first, if there is one.
-    fn is_finished(&mut self, reader: &ReadHalf<'_>) -> bool {
-        if !self.is_quiescent() || !(self.has_input_ended || self.is_stopped(reader)) {
+    fn is_finished(&mut self) -> bool {
+        if !self.is_quiescent() || !(self.has_input_ended || self.is_stopped()) {
             return false;
         }
         if let Some(last_answer) = self.last_answer.take() {
@@ -315,11 +311,11 @@
 
     /// Returns whether shutdown may close the connection: no unread input is left, and the client
     /// had time for its first message.
-    fn is_stopped(&self, reader: &ReadHalf<'_>) -> bool {
+    fn is_stopped(&self) -> bool {
         let has_waited = |deadline: Instant| self.has_read || deadline <= Instant::now();
         self.client.is_stopping.get()
             && self.first_message_deadline.is_none_or(has_waited)
-            && !matches!(peek(reader.as_ref()), Ok(1..))
+            && !self.stream.has_unread()
     }
 
     /// Returns the conditions of the next wait. Nothing is read before the complete messages that
--- a/crates/heathroad/src/frontend/jsonrpc/listener.rs
+++ b/crates/heathroad/src/frontend/jsonrpc/listener.rs
@@ -3,7 +3,7 @@
 use super::JsonRpcFrontend;
 use super::answer::{answer, rejected};
 use super::connection::Client;
-use super::stream_io::{LINGER, close};
+use super::stream_io::{ClientStream, LINGER};
 use crate::engine::retry_after;
 use crate::frontend::connections::{DescriptorGuard, SPARE_CONNECTIONS, accept_queued};
 use crate::runtime_accounting::{sleep, spawn_in, timeout};
@@ -15,7 +15,6 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
 use tokio::task::{JoinSet, yield_now};
@@ -141,7 +140,7 @@
     }
 
     /// Rejects a connection above the limit without reading its input.
-    async fn reject(self: Rc<Self>, mut stream: TcpStream) {
+    async fn reject(self: Rc<Self>, stream: TcpStream) {
         let _descriptor = DescriptorGuard::new(&self.frontend.table);
         let member = rejected(retry_after(&self.frontend.settings));
         let mut output = BytesMut::new();
@@ -150,10 +149,10 @@
             &answer(&NULL_ID, &member),
             &mut output,
         );
-        let (mut reader, mut writer) = stream.split();
+        let stream = ClientStream::new(stream);
         // Best effort: no call was read.
-        if let Ok(Ok(())) = timeout(LINGER, writer.write_all(&output)).await {
-            close(&mut reader, &mut writer).await;
+        if let Ok(Ok(())) = timeout(LINGER, stream.write_all(&output)).await {
+            stream.close().await;
         }
     }
 
--- a/crates/heathroad/src/frontend/jsonrpc/mod.rs
+++ b/crates/heathroad/src/frontend/jsonrpc/mod.rs
@@ -6,7 +6,7 @@
 //!
 //! - `listener` accepts the connections of one listener.
 //! - `connection` is the task of a connection; `message_reader` decodes its messages, `intake`
-//!   accepts them, and `stream_io` reads from and closes its stream.
+//!   accepts them, and `stream_io` reads, writes and closes its stream.
 //! - `output_buffer` holds the unwritten answers.
 //! - `exchange` queues the calls of a connection's messages and collects their answers.
 //! - `call` binds a call and runs it through the engine; `answer` builds the answers.
