--- a/crates/heathroad/tests/unit/backend_races.rs
+++ b/crates/heathroad/tests/unit/backend_races.rs
@@ -1,12 +1,14 @@
 //! Races between the writing of an attempt and its cancellation or an early response.
 
 use super::*;
+use crate::safety::{ClientConnection, ClientHandle, ClientPresence};
 use bytes::Bytes;
 use heathroad_balancer::api::Outcome;
 use heathroad_jsonrpc::Framing;
 use hyper::header::HeaderValue;
 use hyper::{Method, Uri};
 use socket2::SockRef;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -364,3 +366,54 @@
             .await;
     }
 }
+
+/// A client that is there when it is first looked for, and has left from then on.
+struct LeavingClient {
+    looks: Cell<u32>,
+}
+
+impl ClientConnection for LeavingClient {
+    fn presence(&self) -> ClientPresence {
+        self.looks.set(self.looks.get() + 1);
+        if self.looks.get() == 1 {
+            ClientPresence::Present
+        } else {
+            ClientPresence::Left
+        }
+    }
+}
+
+/// Guards against a request that is checked, and written by another task, after the process was held
+/// up in between and its client has left.
+#[tokio::test]
+async fn a_request_whose_client_leaves_before_the_first_byte_is_not_written() {
+    let listener = small_listener(16);
+    let address = listener.local_addr().expect("bound");
+    let pool = pool(8, true);
+    LocalSet::new()
+        .run_until(async {
+            let target = pool.target("a", address, 0.0);
+            for call in [call(0), jsonrpc_call(address.port(), Framing::Lines, None)] {
+                let client = Rc::new(LeavingClient {
+                    looks: Cell::new(0),
+                });
+                let control = Rc::new(AttemptControl::new(Some(ClientHandle::new(&client)), None));
+                let expires_at = Instant::now() + LONG;
+                let running = {
+                    let (pool, target) = (pool.clone(), target.clone());
+                    spawn_local(async move {
+                        exchange(&pool, &call, &target, expires_at, &control, None).await
+                    })
+                };
+                let (mut backend, _) = soon(listener.accept()).await.expect("a connection");
+                let mut bytes = [0; 1024];
+                let read =
+                    tokio::time::timeout(Duration::from_millis(200), backend.read(&mut bytes));
+                let written = read.await.map_or(0, |read| read.unwrap_or(0));
+                assert_eq!(written, 0, "{}", String::from_utf8_lossy(&bytes[..written]));
+                let end = soon(running).await.expect("no panic");
+                assert_eq!(end.outcome(), Outcome::NotSent);
+            }
+        })
+        .await;
+}
