Backends: the client is looked for at a request's first write, in the task that writes

A request was written up to the length of a pause after its client had left, over both protocols: the check before a write ran in the attempt's task, the write in the connection's (Hyper's over HTTP, ours over JSON-RPC), and a pause between the two was seen by neither.

The connection's task now asks again in the moment of the first byte: the watched stream over HTTP, the choice of the next message over JSON-RPC. What is denied there never ran: nothing of it is written.

What is left is a pause between the look and the system call itself.

--- a/crates/heathroad/src/backend/attempt.rs
+++ b/crates/heathroad/src/backend/attempt.rs
@@ -6,7 +6,7 @@
 use super::{Call, exchange};
 use crate::retry_budget::AttemptBudget;
 use crate::runtime_accounting::{sleep, sleep_until};
-use crate::safety::{ClientHandle, WriteDeadline};
+use crate::safety::{self, ClientHandle, ClientPresence, Denial, WriteDeadline};
 use crate::stream::{Progress, Written};
 use heathroad_balancer::api::Outcome;
 use std::cell::{Cell, RefCell};
@@ -57,6 +57,17 @@
         }
     }
 
+    /// Returns whether the client is there, if it is known; otherwise it counts as present.
+    pub(super) fn client_presence(&self) -> ClientPresence {
+        let client = self.client.as_ref();
+        client.map_or(ClientPresence::Present, ClientHandle::presence)
+    }
+
+    /// Checks whether the attempt's client is still there.
+    pub(super) fn check_client(&self) -> Result<(), Denial> {
+        safety::check_client(self.client_presence())
+    }
+
     /// Cancels the attempt; has no effect if it has ended.
     pub fn cancel(&self) {
         self.raise_cancellation(Cancellation::Cancelled);
--- a/crates/heathroad/src/backend/http/mod.rs
+++ b/crates/heathroad/src/backend/http/mod.rs
@@ -143,30 +143,43 @@
         };
         // While the connection was established, the backend may have started to drain, the client
         // may have disconnected, or the write deadline may have passed.
-        if let Err(denial) = pool.check_write(target, control) {
-            violations::record_denial(denial, &String::from_utf8_lossy(call.id.as_bytes()));
-            return Err(AttemptEnd::NotServed(Outcome::NotSent));
-        }
+        check_write(pool, call, target, control)?;
         tracing::debug!(id = ?call.id, address = %target.address, is_reused, "attempt written");
+        connection.progress.set_client(control.client.clone());
         let request = call.to_request(&connection.progress, expires_at, budget);
         control.assign_connection(Some(connection.progress.clone()));
-        match connection.sender.send_request(request).await {
+        let reason = match connection.sender.send_request(request).await {
             Ok(response) => return Ok((connection, response)),
-            // The idle connection was closed or had stray bytes. Nothing of the request was
-            // written, so it can be sent over another connection.
-            Err(reason) if is_reused && connection.progress.written() == Written::None => {
-                tracing::debug!(id = ?call.id, %reason, "idle connection unusable, trying another one");
-            }
-            // The outcome depends on whether the backend may have received the complete request.
-            Err(reason) => {
-                let written = connection.progress.written();
-                tracing::debug!(id = ?call.id, %reason, ?written, "backend connection lost");
-                return Err(reset_unless_unwritten(&connection));
-            }
+            Err(reason) => reason,
+        };
+        let written = connection.progress.written();
+        tracing::debug!(id = ?call.id, %reason, ?written, is_reused, "backend connection lost");
+        if written == Written::None {
+            // The client may have left before the first byte.
+            check_write(pool, call, target, control)?;
+        }
+        // An idle connection may have been closed or had stray bytes. If nothing of the request was
+        // written, it can be sent over another connection; otherwise the outcome depends on whether
+        // the backend may have received the complete request.
+        if !is_reused || written != Written::None {
+            return Err(reset_unless_unwritten(&connection));
         }
     }
 }
 
+/// Checks whether the request may be written now; records the denial otherwise.
+fn check_write(
+    pool: &Pool,
+    call: &Call,
+    target: &Target,
+    control: &AttemptControl,
+) -> Result<(), AttemptEnd> {
+    pool.check_write(target, control).map_err(|denial| {
+        violations::record_denial(denial, &String::from_utf8_lossy(call.id.as_bytes()));
+        AttemptEnd::NotServed(Outcome::NotSent)
+    })
+}
+
 /// Waits until stray bytes on an idle connection would have been noticed.
 async fn settle(time: Duration) {
     if !time.is_zero() {
--- a/crates/heathroad/src/backend/jsonrpc/connection.rs
+++ b/crates/heathroad/src/backend/jsonrpc/connection.rs
@@ -4,6 +4,7 @@
 use super::Call;
 use crate::backend::attempt::AttemptControl;
 use crate::retry_budget::AttemptBudget;
+use crate::safety::Denial;
 use crate::stream::Written;
 use bytes::{Buf, Bytes, BytesMut};
 use heathroad_jsonrpc::message::{self, METHOD_NOT_FOUND, ServerMessage};
@@ -27,8 +28,9 @@
     Answered(Response),
     /// The call is a notification and was written.
     NotificationSent,
-    /// The backend's drain grace period ended before anything of the call was written.
-    Drained,
+    /// Before anything of the call was written, the backend's drain grace period ended or the
+    /// client left.
+    Denied,
     /// The connection was lost after this much of the call was written.
     ConnectionLost(Written),
 }
@@ -86,6 +88,14 @@
         pending.is_some_and(|call| call.control.written() == Written::Complete)
     }
 
+    /// Checks whether the client of a call is there, if nothing of the call is written yet.
+    fn check_first_write(&self, id: u64) -> Result<(), Denial> {
+        match self.pending.get(&id) {
+            Some(call) if call.control.written() == Written::None => call.control.check_client(),
+            _ => Ok(()),
+        }
+    }
+
     fn is_notification(&self, id: u64) -> bool {
         self.pending
             .get(&id)
@@ -223,19 +233,28 @@
     }
 
     /// Returns the bytes to write next. Once the backend is drained, queued calls end and only a
-    /// message that is partially written is completed.
+    /// message that is partially written is completed. A call whose client is not there any more
+    /// ends as well, unless a part of it is written.
     pub(super) fn next_bytes(&self, is_drained: bool) -> Option<Bytes> {
         let state = &mut *self.state.borrow_mut();
         if state.has_ended_writes {
             return None;
         }
         if state.writing.is_none() && is_drained {
-            self.end_queued_calls(state, || CallEnd::Drained);
+            self.end_queued_calls(state, || CallEnd::Denied);
         }
-        if state.writing.is_none() {
-            state.writing = state.queue.pop_front();
+        loop {
+            if state.writing.is_none() {
+                state.writing = state.queue.pop_front();
+            }
+            let frame = state.writing.as_ref()?;
+            let (id, remaining) = (frame.id, frame.remaining.clone());
+            if state.check_first_write(id).is_ok() {
+                return Some(remaining);
+            }
+            state.writing = None;
+            self.end_call(state, id, CallEnd::Denied);
         }
-        state.writing.as_ref().map(|frame| frame.remaining.clone())
     }
 
     /// Records the number of bytes that were written.
--- a/crates/heathroad/src/backend/jsonrpc/mod.rs
+++ b/crates/heathroad/src/backend/jsonrpc/mod.rs
@@ -185,7 +185,7 @@
             classify_response(answer, call.transport.declined_code)
         }
         Some(CallEnd::NotificationSent) => AttemptEnd::NotificationSent,
-        Some(CallEnd::Drained) => AttemptEnd::NotServed(Outcome::NotSent),
+        Some(CallEnd::Denied) => AttemptEnd::NotServed(Outcome::NotSent),
         Some(CallEnd::ConnectionLost(Written::None | Written::Partial)) => {
             AttemptEnd::NotServed(Outcome::ConnectFailed)
         }
--- a/crates/heathroad/src/backend/pool.rs
+++ b/crates/heathroad/src/backend/pool.rs
@@ -4,7 +4,7 @@
 use super::target::Target;
 use super::{http, jsonrpc};
 use crate::runtime_accounting::timeout;
-use crate::safety::{self, ClientHandle, ClientPresence, Denial, PendingWrite};
+use crate::safety::{self, Denial, PendingWrite};
 use heathroad_balancer::api::Outcome;
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
@@ -319,9 +319,8 @@
         target: &Target,
         control: &AttemptControl,
     ) -> Result<(), Denial> {
-        let client = control.client.as_ref();
         let write = PendingWrite {
-            client: client.map_or(ClientPresence::Present, ClientHandle::presence),
+            client: control.client_presence(),
             backend_withdrawn: self.is_past_drain_grace(target) || self.is_replaced(target),
             deadline: control.write_deadline,
         };
--- a/crates/heathroad/src/stream.rs
+++ b/crates/heathroad/src/stream.rs
@@ -2,13 +2,14 @@
 //! records when data arrived.
 
 use crate::runtime_accounting::{self, sleep};
+use crate::safety::{ClientHandle, ClientPresence};
 use crate::stall_detector;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
@@ -40,6 +41,8 @@
 pub struct Progress {
     /// A request was started and no write was attempted yet.
     is_new_request: Cell<bool>,
+    /// The client of the request that was started.
+    client: RefCell<Option<ClientHandle>>,
     is_body_taken: Cell<bool>,
     is_begun: Cell<bool>,
     is_flushed: Cell<bool>,
@@ -79,6 +82,11 @@
         }
     }
 
+    /// Sets the client for whom the next request is written. It must be there at the first write.
+    pub fn set_client(&self, client: Option<ClientHandle>) {
+        self.client.replace(client);
+    }
+
     /// Starts a new request.
     pub fn start_request(&self) {
         self.is_new_request.set(true);
@@ -203,16 +211,21 @@
 }
 
 impl<S: Unread> WatchedStream<S> {
-    /// Fails if there are unread bytes before the first write of a request: a stray second response
-    /// to the previous request would be taken for the response to this one.
-    fn check_unread(&self) -> io::Result<()> {
-        let has_stray_bytes =
-            self.progress.is_new_request.replace(false) && self.stream.has_unread();
-        if has_stray_bytes {
-            Err(io::ErrorKind::InvalidData.into())
-        } else {
-            Ok(())
+    /// Checks the state before the first write of a request. Fails if there are unread bytes: a
+    /// stray second response to the previous request would be taken for the response to this one.
+    /// Fails too if the client is not there, as it was when the request was passed to this task.
+    fn check_first_write(&self) -> io::Result<()> {
+        if !self.progress.is_new_request.replace(false) {
+            return Ok(());
+        }
+        if self.stream.has_unread() {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        let client = self.progress.client.take();
+        if client.is_some_and(|client| client.presence() != ClientPresence::Present) {
+            return Err(io::ErrorKind::ConnectionAborted.into());
         }
+        Ok(())
     }
 }
 
@@ -244,7 +257,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.check_unread()?;
+        self.check_first_write()?;
         let result = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.record_write(cx, result)
     }
@@ -254,7 +267,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.check_unread()?;
+        self.check_first_write()?;
         let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         self.record_write(cx, result)
     }
