HTTP: an id stays taken if its client reset the connection over the response

A response is surely not read where the connection ends with a reset behind it, which is what a close over unread data, or before the data, brings. The connection now remembers the id of its last served request until its next one, and a close by a reset takes the id again for its 60 s.

Not covered: a client that ends its side in good order and never reads looks like one that has read.

--- a/crates/heathroad/src/frontend/connections.rs
+++ b/crates/heathroad/src/frontend/connections.rs
@@ -8,6 +8,7 @@
 };
 use crate::stall_detector;
 use crate::stream::{Progress, Unread};
+use hyper::header::HeaderValue;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -74,6 +75,9 @@
     pub is_answered: Cell<bool>,
     /// Whether any request was answered with a backend's response.
     pub is_served: Cell<bool>,
+    /// The ID of the last request, if it was served. Until the connection goes on, it is not known
+    /// whether the client has read the response.
+    pub served_id: Cell<Option<HeaderValue>>,
     /// The progress of its messages.
     pub progress: Rc<Progress>,
     /// The underlying stream.
@@ -120,7 +124,7 @@
     }
 
     /// Logs the close, and records a violation if the proxy dropped a pending request.
-    pub fn record_close(&self, reason: CloseReason) {
+    fn record_close(&self, reason: CloseReason) {
         let is_pending = self.stage.get() == Stage::Pending;
         tracing::debug!(
             connection = self.number,
@@ -248,6 +252,7 @@
             idle_since: Cell::new(Instant::now()),
             is_answered: Cell::new(false),
             is_served: Cell::new(false),
+            served_id: Cell::default(),
             progress: Rc::default(),
             stream: ReadAheadStream::new(stream, table, max_buffered_bytes),
             is_closing: Cell::new(false),
@@ -262,6 +267,19 @@
     }
 }
 
+impl RegisteredConnection {
+    /// Logs the close. The client may not have read the last response if it reset the connection,
+    /// or closed it before the response was written.
+    pub fn record_close(&self, reason: CloseReason) {
+        let connection = &self.connection;
+        connection.record_close(reason);
+        let is_reset = reason == CloseReason::Broken || connection.stream.has_failed();
+        if let Some(id) = connection.served_id.take().filter(|_| is_reset) {
+            self.table.request_ids.close(&id, true);
+        }
+    }
+}
+
 impl Drop for RegisteredConnection {
     fn drop(&mut self) {
         let mut connections = self.table.connections.borrow_mut();
--- a/crates/heathroad/src/frontend/http/connection.rs
+++ b/crates/heathroad/src/frontend/http/connection.rs
@@ -100,7 +100,7 @@
                 run_until_quiescent(http, disconnect, connection).await
             }
         };
-        connection.record_close(reason);
+        registered.record_close(reason);
     }
 
     fn is_trusted(&self, connection: &Connection) -> bool {
@@ -158,6 +158,7 @@
             });
         }
         connection.stage.set(Stage::ReadingBody);
+        connection.served_id.take();
         let read = self
             .read_request(request, connection, received_at, acceptance.is_trusted)
             .await;
@@ -197,6 +198,7 @@
         let is_served = matches!(decided.response, engine::Response::Served(_));
         if is_served && connection.presence() == ClientPresence::Present {
             reservation.execution.set(false);
+            connection.served_id.set(Some(reservation.id.clone()));
         }
         to_final_reply(connection, decided)
     }
--- a/crates/heathroad/src/frontend/read_ahead.rs
+++ b/crates/heathroad/src/frontend/read_ahead.rs
@@ -107,6 +107,8 @@
     /// Maximum number of bytes buffered for all clients at which data is still read ahead.
     max_buffered_bytes: usize,
     has_disconnected: Cell<bool>,
+    /// Whether a read of Hyper has failed.
+    has_failed: Cell<bool>,
     /// Wakes the connection's task, whose view of the socket is outdated after another task's read.
     waker: Cell<Option<Waker>>,
 }
@@ -126,6 +128,7 @@
             reservation: RefCell::new(BufferReservation::new(table)),
             max_buffered_bytes: max_buffered_bytes / BUFFER_SHARE_DIVISOR,
             has_disconnected: Cell::new(false),
+            has_failed: Cell::new(false),
             waker: Cell::default(),
         }
     }
@@ -270,6 +273,11 @@
         arrival.is_some()
     }
 
+    /// Returns whether the connection has failed. The system reports that once, to a read or to this.
+    pub fn has_failed(&self) -> bool {
+        self.has_failed.get() || self.with_stream(|stream| !matches!(stream.take_error(), Ok(None)))
+    }
+
     /// Returns the number of bytes that were read ahead.
     pub fn buffered_bytes(&self) -> usize {
         self.buffer.borrow().length
@@ -310,7 +318,11 @@
         if stream.read_buffered(&mut buf) {
             return Poll::Ready(Ok(()));
         }
-        Pin::new(&mut *stream.io.borrow_mut()).poll_read(cx, buf)
+        let read = Pin::new(&mut *stream.io.borrow_mut()).poll_read(cx, buf);
+        if matches!(read, Poll::Ready(Err(_))) {
+            stream.has_failed.set(true);
+        }
+        read
     }
 }
 
--- a/crates/heathroad/src/frontend/reservations.rs
+++ b/crates/heathroad/src/frontend/reservations.rs
@@ -68,7 +68,8 @@
     /// Whether the request may have been executed when the reservation ends, so that its ID stays
     /// taken.
     pub execution: UncertainExecution,
-    id: HeaderValue,
+    /// The ID.
+    pub id: HeaderValue,
 }
 
 impl RequestReservation {
--- a/crates/heathroad/tests/departures.rs
+++ b/crates/heathroad/tests/departures.rs
@@ -249,6 +249,25 @@
     }
 }
 
+/// Guards against a second execution under the id of a request whose response was not read: it was
+/// on its way when the client closed.
+#[tokio::test]
+async fn an_id_whose_response_was_not_read_is_not_taken_again() {
+    let orders = Arc::new(Orders::default());
+    let backend = Backend::start("a", &orders).await;
+    let discovery = Discovery::start(vec![backend.line("SERVING")]).await;
+    let proxy = Proxy::settled(&discovery, settings()).await;
+    let text = raw_request("once", "unread", 60_000);
+    let mut gone = client(proxy.addr).await;
+    gone.write_all(text.as_bytes()).await.expect("open");
+    // The response lies there; a close over it resets the connection.
+    soon(gone.readable()).await.expect("open");
+    leave(gone, false);
+    sleep(LEAVE_GRACE).await;
+    assert_eq!(status(proxy.addr, &text).await, "409");
+    assert_eq!(ids_seen(&orders), ["unread"]);
+}
+
 /// An id under which nothing can have run is free once its client has left.
 #[tokio::test]
 async fn an_id_that_never_ran_is_taken_again() {
