HTTP: ids of all responses in a pipeline that may be unread are kept to the reset

A request now shows that earlier responses were read only if it arrived after they were written. Up to 64 ids a connection are kept, as fingerprints, so that no head's buffer stays with them.

--- a/crates/heathroad/src/frontend/connections.rs
+++ b/crates/heathroad/src/frontend/connections.rs
@@ -2,16 +2,15 @@
 //! connection to close when the limit is reached.
 
 use super::read_ahead::ReadAheadStream;
-use super::request_ids::RequestIds;
+use super::request_ids::{IdFingerprint, RequestIds};
 use crate::safety::{
     self, ClientConnection, ClientPresence, ConnectionState, Violation, violations,
 };
 use crate::stall_detector;
 use crate::stream::{Progress, Unread};
-use hyper::header::HeaderValue;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -25,6 +24,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Time that a connection without a request has to send its first one after shutdown begins.
 pub const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(150);
+/// Maximum number of pipelined requests of a connection whose responses may be unread.
+const MAX_UNREAD_IDS: usize = 64;
 /// Connections accepted above the limit, so that their clients receive a rejection instead of
 /// waiting in the accept queue.
 pub const SPARE_CONNECTIONS: usize = 16;
@@ -75,9 +76,8 @@
     pub is_answered: Cell<bool>,
     /// Whether any request was answered with a backend's response.
     pub is_served: Cell<bool>,
-    /// The ID of the last request, if it was served. Until the connection goes on, it is not known
-    /// whether the client has read the response.
-    pub served_id: Cell<Option<HeaderValue>>,
+    /// The IDs of served requests whose responses the client may not have read.
+    unread_ids: RefCell<VecDeque<IdFingerprint>>,
     /// The progress of its messages.
     pub progress: Rc<Progress>,
     /// The underlying stream.
@@ -117,6 +117,23 @@
         }
     }
 
+    /// Records the ID of a request whose response is about to be written.
+    pub fn add_unread_id(&self, id: IdFingerprint) {
+        let mut unread_ids = self.unread_ids.borrow_mut();
+        if unread_ids.len() >= MAX_UNREAD_IDS {
+            unread_ids.pop_front();
+        }
+        unread_ids.push_back(id);
+    }
+
+    /// Records the arrival of a request. A client that sends one after a response has read that;
+    /// one that pipelines may not have.
+    pub fn record_request(&self, received_at: Instant) {
+        if received_at > self.idle_since.get() {
+            self.unread_ids.borrow_mut().clear();
+        }
+    }
+
     /// Returns the time since data last arrived.
     pub fn time_since_read(&self) -> Duration {
         let last_arrival = self.progress.last_arrival();
@@ -252,7 +269,7 @@
             idle_since: Cell::new(Instant::now()),
             is_answered: Cell::new(false),
             is_served: Cell::new(false),
-            served_id: Cell::default(),
+            unread_ids: RefCell::default(),
             progress: Rc::default(),
             stream: ReadAheadStream::new(stream, table, max_buffered_bytes),
             is_closing: Cell::new(false),
@@ -274,8 +291,10 @@
         let connection = &self.connection;
         connection.record_close(reason);
         let is_reset = reason == CloseReason::Broken || connection.stream.has_failed();
-        if let Some(id) = connection.served_id.take().filter(|_| is_reset) {
-            self.table.request_ids.close(&id, true);
+        for id in connection.unread_ids.take() {
+            if is_reset {
+                self.table.request_ids.retain(id);
+            }
         }
     }
 }
--- a/crates/heathroad/src/frontend/http/connection.rs
+++ b/crates/heathroad/src/frontend/http/connection.rs
@@ -158,7 +158,7 @@
             });
         }
         connection.stage.set(Stage::ReadingBody);
-        connection.served_id.take();
+        connection.record_request(received_at);
         let read = self
             .read_request(request, connection, received_at, acceptance.is_trusted)
             .await;
@@ -198,7 +198,7 @@
         let is_served = matches!(decided.response, engine::Response::Served(_));
         if is_served && connection.presence() == ClientPresence::Present {
             reservation.execution.set(false);
-            connection.served_id.set(Some(reservation.id.clone()));
+            connection.add_unread_id(reservation.fingerprint());
         }
         to_final_reply(connection, decided)
     }
--- a/crates/heathroad/src/frontend/request_ids.rs
+++ b/crates/heathroad/src/frontend/request_ids.rs
@@ -32,38 +32,55 @@
     pub fn close(&self, id: &HeaderValue, may_have_run: bool) {
         self.open.borrow_mut().remove(id);
         if may_have_run {
-            self.retained.borrow_mut().insert(id, Instant::now());
+            self.retain(self.fingerprint(id));
         }
     }
+
+    /// Returns the fingerprint of an ID, for a later [`RequestIds::retain`].
+    pub fn fingerprint(&self, id: &HeaderValue) -> IdFingerprint {
+        self.retained.borrow().fingerprint(id)
+    }
+
+    /// Takes the ID of a request that may have been executed for [`RETENTION`].
+    pub fn retain(&self, id: IdFingerprint) {
+        self.retained.borrow_mut().insert(id, Instant::now());
+    }
 }
 
-/// IDs that stay taken for [`RETENTION`]. Only their hashes are kept, which a client cannot predict.
+/// The hash of an ID, which a client cannot predict. It needs no memory of the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct IdFingerprint(u64);
+
+/// IDs that stay taken for [`RETENTION`].
 #[derive(Default)]
 struct RetainedIds {
     hasher: RandomState,
-    hashes: HashSet<u64>,
+    ids: HashSet<IdFingerprint>,
     /// When each ID is free again, oldest first.
-    expiries: VecDeque<(Instant, u64)>,
+    expiries: VecDeque<(Instant, IdFingerprint)>,
 }
 
 impl RetainedIds {
-    fn insert(&mut self, id: &HeaderValue, now: Instant) {
+    fn fingerprint(&self, id: &HeaderValue) -> IdFingerprint {
+        IdFingerprint(self.hasher.hash_one(id))
+    }
+
+    fn insert(&mut self, id: IdFingerprint, now: Instant) {
         self.remove_expired(now);
         if self.expiries.len() >= MAX_RETAINED {
             self.remove_oldest();
         }
-        let hash = self.hasher.hash_one(id);
-        if self.hashes.insert(hash) {
-            self.expiries.push_back((now + RETENTION, hash));
+        if self.ids.insert(id) {
+            self.expiries.push_back((now + RETENTION, id));
         }
     }
 
     fn contains(&mut self, id: &HeaderValue, now: Instant) -> bool {
-        if self.hashes.is_empty() {
+        if self.ids.is_empty() {
             return false;
         }
         self.remove_expired(now);
-        self.hashes.contains(&self.hasher.hash_one(id))
+        self.ids.contains(&self.fingerprint(id))
     }
 
     fn remove_expired(&mut self, now: Instant) {
@@ -73,8 +90,8 @@
     }
 
     fn remove_oldest(&mut self) {
-        if let Some((_, hash)) = self.expiries.pop_front() {
-            self.hashes.remove(&hash);
+        if let Some((_, id)) = self.expiries.pop_front() {
+            self.ids.remove(&id);
         }
     }
 }
--- a/crates/heathroad/src/frontend/reservations.rs
+++ b/crates/heathroad/src/frontend/reservations.rs
@@ -2,6 +2,7 @@
 //! requests, and pending requests. Each guard releases its resource on drop.
 
 use super::connections::ConnectionTable;
+use super::request_ids::IdFingerprint;
 use crate::safety::UncertainExecution;
 use hyper::header::HeaderValue;
 use std::rc::Rc;
@@ -68,8 +69,7 @@
     /// Whether the request may have been executed when the reservation ends, so that its ID stays
     /// taken.
     pub execution: UncertainExecution,
-    /// The ID.
-    pub id: HeaderValue,
+    id: HeaderValue,
 }
 
 impl RequestReservation {
@@ -83,6 +83,13 @@
     }
 }
 
+impl RequestReservation {
+    /// Returns the fingerprint of the ID.
+    pub fn fingerprint(&self) -> IdFingerprint {
+        self.body.table.request_ids.fingerprint(&self.id)
+    }
+}
+
 impl Drop for RequestReservation {
     fn drop(&mut self) {
         let may_have_run = self.execution.may_have_run();
--- a/crates/heathroad/tests/departures.rs
+++ b/crates/heathroad/tests/departures.rs
@@ -257,15 +257,21 @@
     let backend = Backend::start("a", &orders).await;
     let discovery = Discovery::start(vec![backend.line("SERVING")]).await;
     let proxy = Proxy::settled(&discovery, settings()).await;
-    let text = raw_request("once", "unread", 60_000);
-    let mut gone = client(proxy.addr).await;
-    gone.write_all(text.as_bytes()).await.expect("open");
-    // The response lies there; a close over it resets the connection.
-    soon(gone.readable()).await.expect("open");
-    leave(gone, false);
-    sleep(LEAVE_GRACE).await;
-    assert_eq!(status(proxy.addr, &text).await, "409");
-    assert_eq!(ids_seen(&orders), ["unread"]);
+    for behind in ["", "GET /nothing HTTP/1.1\r\nHost: o\r\n\r\n"] {
+        let id = format!("unread-{}", behind.len());
+        let text = raw_request("once", &id, 60_000);
+        let mut gone = client(proxy.addr).await;
+        let at_once = text.clone() + behind;
+        gone.write_all(at_once.as_bytes()).await.expect("open");
+        // The response lies there; a close over it resets the connection.
+        soon(gone.readable()).await.expect("open");
+        sleep(LEAVE_GRACE).await;
+        leave(gone, false);
+        sleep(LEAVE_GRACE).await;
+        assert_eq!(status(proxy.addr, &text).await, "409", "{id}");
+        assert_eq!(ids_seen(&orders), [id]);
+        orders.seen.send_modify(Vec::clear);
+    }
 }
 
 /// An id under which nothing can have run is free once its client has left.
