--- a/crates/heathroad/src/engine/mod.rs
+++ b/crates/heathroad/src/engine/mod.rs
@@ -1,6 +1,7 @@
 //! The engine of one pool, which owns the pool's decision module. It translates network and timer
 //! events into the decision module's events and executes the module's actions.
 //!
+//! - `incoming_request` is a request as the frontends pass it on.
 //! - `request` handles a request from its arrival to its final response.
 //! - `attempt` sends attempts and records their results.
 //! - `endpoints` applies updates of the endpoint list.
@@ -10,12 +11,13 @@
 mod attempt;
 mod clock;
 mod endpoints;
+mod incoming_request;
 mod pending_response;
 mod request;
 mod response;
 mod timers;
 
-pub use request::IncomingRequest;
+pub use incoming_request::IncomingRequest;
 pub use response::{FinalResponse, Response, retry_after};
 
 use crate::backend::{Pool, Target};
--- a/crates/heathroad/src/engine/request.rs
+++ b/crates/heathroad/src/engine/request.rs
@@ -1,6 +1,7 @@
 //! Handling of requests: admission checks, the open request, and its final response.
 
 use super::attempt::AttemptRecord;
+use super::incoming_request::IncomingRequest;
 use super::pending_response::PendingResponse;
 use super::response::{FinalResponse, Response, ResponseState, final_activity, retry_after};
 use super::timers::Deadlines;
@@ -11,7 +12,7 @@
 use crate::retry_budget::RequestBudget;
 use crate::safety::{self, ClientHandle, PastAttempt, UncertainExecution, Violation, violations};
 use crate::time::{as_millis, millis};
-use heathroad_balancer::api::{Event, Idempotency, Outcome, RequestArrival, RequestId};
+use heathroad_balancer::api::{Event, Idempotency, Outcome, RequestId};
 use heathroad_membership::activity_record::Activity;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,56 +21,6 @@
 /// Initial capacity for the attempts of a request.
 const ATTEMPTS_CAPACITY: usize = 2;
 
-/// A request that the frontend has parsed, with its class and tenant resolved.
-pub struct IncomingRequest {
-    /// The call that is sent to backends.
-    pub call: Call,
-    /// Index of the class in the settings.
-    pub class: u16,
-    /// Index of the tenant in the settings.
-    pub tenant: u16,
-    /// Hash of the key, by [`super::hash_key`]; 0 if the request has none.
-    pub key: u64,
-    /// Earliest time at which the request head can have arrived.
-    pub received_at: Instant,
-    /// The client's timeout.
-    pub timeout: Duration,
-    /// The retry budget, if budgets are configured.
-    pub budget: Option<RequestBudget>,
-    /// Records the request's activities, if activities are recorded.
-    pub activity: Option<activity_log::RequestActivity>,
-    /// Receives whether the request may have been executed, once it has ended. A served request
-    /// counts as executed until the frontend has its response.
-    pub execution: UncertainExecution,
-}
-
-impl IncomingRequest {
-    fn record(&self, activity: Activity) {
-        if let Some(log) = &self.activity {
-            log.record(activity);
-        }
-    }
-
-    /// Returns the client's timeout, limited by the retry budget's time.
-    fn effective_timeout(&self) -> Duration {
-        let budget = self.budget.as_ref();
-        budget.map_or(self.timeout, |budget| self.timeout.min(budget.time_limit()))
-    }
-
-    fn arrival(&self, request: RequestId, deadline: f64) -> RequestArrival {
-        let budget = self.budget.as_ref();
-        RequestArrival {
-            request,
-            key: self.key,
-            class: self.class,
-            tenant: self.tenant,
-            deadline,
-            retries_left: budget.map(RequestBudget::remaining_retries),
-            priority_share: budget.map_or(1.0, RequestBudget::priority_weight),
-        }
-    }
-}
-
 /// A request from its arrival at the decision module until its response is sent and its last
 /// attempt has ended.
 pub(super) struct OpenRequest {
