--- a/crates/heathroad/tests/crossings.rs
+++ b/crates/heathroad/tests/crossings.rs
@@ -298,7 +298,8 @@
         .await
         .expect("open");
     orders.came(1).await;
-    // More than is read ahead.
+    // More than the library and one read take at once; what is past the read-ahead itself is in
+    // departures.rs.
     let pad = format!("X-Pad: {}\r\n", "p".repeat(3000));
     let rest: String = (1..100)
         .map(|n| raw_request("GET /look", &format!("p-{n}"), &pad))
