HTTP: ids are taken again after a failure of the socket alone, not after a broken message

Trace: the client sent its next request and closed in good order; Hyper ended the connection as incomplete, which counted as a reset, and the id of the response before it was taken again.

Whether a connection was reset is now told by failed reads and writes and by the socket alone.

--- a/crates/heathroad/src/frontend/connections.rs
+++ b/crates/heathroad/src/frontend/connections.rs
@@ -290,7 +290,7 @@
     pub fn record_close(&self, reason: CloseReason) {
         let connection = &self.connection;
         connection.record_close(reason);
-        let is_reset = reason == CloseReason::Broken || connection.stream.has_failed();
+        let is_reset = connection.stream.has_failed();
         for id in connection.unread_ids.take() {
             if is_reset {
                 self.table.request_ids.retain(id);
--- a/crates/heathroad/src/frontend/read_ahead.rs
+++ b/crates/heathroad/src/frontend/read_ahead.rs
@@ -107,7 +107,7 @@
     /// Maximum number of bytes buffered for all clients at which data is still read ahead.
     max_buffered_bytes: usize,
     has_disconnected: Cell<bool>,
-    /// Whether a read of Hyper has failed.
+    /// Whether a read or a write of Hyper has failed.
     has_failed: Cell<bool>,
     /// Wakes the connection's task, whose view of the socket is outdated after another task's read.
     waker: Cell<Option<Waker>>,
@@ -273,7 +273,15 @@
         arrival.is_some()
     }
 
-    /// Returns whether the connection has failed. The system reports that once, to a read or to this.
+    /// Records whether a read or a write of Hyper has failed, and returns its result.
+    fn record_failure<T>(&self, result: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        if matches!(result, Poll::Ready(Err(_))) {
+            self.has_failed.set(true);
+        }
+        result
+    }
+
+    /// Returns whether the connection has failed. The system reports that once, to a read, a write or this.
     pub fn has_failed(&self) -> bool {
         self.has_failed.get() || self.with_stream(|stream| !matches!(stream.take_error(), Ok(None)))
     }
@@ -319,10 +327,7 @@
             return Poll::Ready(Ok(()));
         }
         let read = Pin::new(&mut *stream.io.borrow_mut()).poll_read(cx, buf);
-        if matches!(read, Poll::Ready(Err(_))) {
-            stream.has_failed.set(true);
-        }
-        read
+        stream.record_failure(read)
     }
 }
 
@@ -332,7 +337,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.0.stream.io.borrow_mut()).poll_write(cx, buf)
+        let stream = &self.0.stream;
+        let written = Pin::new(&mut *stream.io.borrow_mut()).poll_write(cx, buf);
+        stream.record_failure(written)
     }
 
     fn poll_write_vectored(
@@ -340,7 +347,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.0.stream.io.borrow_mut()).poll_write_vectored(cx, bufs)
+        let stream = &self.0.stream;
+        let written = Pin::new(&mut *stream.io.borrow_mut()).poll_write_vectored(cx, bufs);
+        stream.record_failure(written)
     }
 
     fn is_write_vectored(&self) -> bool {
