Backends: a listed process is not taken for replaced when two names share its address

While discovery lists both, they may be one process, so only a withdrawn one counts as replaced: that is the case of the incident.

--- a/crates/heathroad/src/backend/pool.rs
+++ b/crates/heathroad/src/backend/pool.rs
@@ -126,9 +126,13 @@
         }
     }
 
-    /// Returns whether another process is known to be at a process's address, so that a connect to
-    /// that address would not reach it.
+    /// Returns whether another process is known to be at the address of a process that was
+    /// withdrawn, so that a connect to that address would not reach it. While discovery lists both,
+    /// they may be one process under two names.
     fn is_replaced(&self, target: &Target) -> bool {
+        if !target.is_draining() {
+            return false;
+        }
         let owners = self.address_owners.borrow();
         let owner = owners.get(&target.address).and_then(Weak::upgrade);
         owner.is_some_and(|owner| !owner.is_same_process(target))
