JSON-RPC: a connection's task yields after four reads

Cause: reads by readable() and try_read(), which take nothing of the runtime's budget as the stream's own reads had; blank lines are no messages, so that the yield after 16 messages did not come either. The task now yields after four reads, before the next one, so that nothing is lost where the read is cancelled.

--- a/crates/heathroad/src/frontend/jsonrpc/stream_io.rs
+++ b/crates/heathroad/src/frontend/jsonrpc/stream_io.rs
@@ -12,10 +12,14 @@
 use std::time::Duration;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio::time::Instant;
 
 /// Maximum time to discard input after the last answer, so that no reset prevents its delivery.
 pub(super) const LINGER: Duration = Duration::from_millis(200);
+/// Number of reads after which the task yields. The reads themselves do not, as long as the client
+/// sends.
+const READS_PER_YIELD: u32 = 4;
 /// Size of one discarding read, in bytes.
 const DISCARD_SIZE: usize = 1024;
 
@@ -24,6 +28,8 @@
     stream: TcpStream,
     /// Whether a reset was seen. The system reports it once.
     is_reset: Cell<bool>,
+    /// Number of reads since the task last yielded.
+    reads: Cell<u32>,
 }
 
 impl ClientStream {
@@ -32,6 +38,7 @@
         ClientStream {
             stream,
             is_reset: Cell::new(false),
+            reads: Cell::new(0),
         }
     }
 
@@ -46,11 +53,20 @@
             self.stream.ready(Interest::ERROR).await?;
             return Err(io::ErrorKind::ConnectionReset.into());
         }
+        // Before the read, since this may be cancelled while it waits.
+        if self.reads.get() >= READS_PER_YIELD {
+            self.reads.set(0);
+            yield_now().await;
+        }
         loop {
             self.stream.readable().await?;
             match self.stream.try_read_buf(buffer) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                read => return read.inspect(|_| runtime_accounting::read()),
+                read => {
+                    runtime_accounting::read();
+                    self.reads.set(self.reads.get() + 1);
+                    return read;
+                }
             }
         }
     }
