A request's execution is recorded on its connection, and its Host read in place

The flag is a cell of the connection, told through the client's handle; the host's bytes are checked where they lie; the last id needs no queue. The guard passes with the ceilings as they were. The frontend's unit tests, departures and source_layout pass.

--- a/crates/heathroad/src/engine/incoming_request.rs
+++ b/crates/heathroad/src/engine/incoming_request.rs
@@ -3,7 +3,6 @@
 use crate::backend::Call;
 use crate::membership::activity_log;
 use crate::retry_budget::RequestBudget;
-use crate::safety::UncertainExecution;
 use heathroad_balancer::api::{RequestArrival, RequestId};
 use heathroad_membership::activity_record::Activity;
 use std::time::Duration;
@@ -27,9 +26,6 @@
     pub budget: Option<RequestBudget>,
     /// Records the request's activities, if activities are recorded.
     pub activity: Option<activity_log::RequestActivity>,
-    /// Receives whether the request may have been executed, once it has ended. A served request
-    /// counts as executed until the frontend has its response.
-    pub execution: UncertainExecution,
 }
 
 impl IncomingRequest {
--- a/crates/heathroad/src/engine/request.rs
+++ b/crates/heathroad/src/engine/request.rs
@@ -10,7 +10,7 @@
 use crate::membership::activity_log;
 use crate::metrics::ResponseKind;
 use crate::retry_budget::RequestBudget;
-use crate::safety::{self, ClientHandle, PastAttempt, UncertainExecution, Violation, violations};
+use crate::safety::{self, ClientHandle, PastAttempt, Violation, violations};
 use crate::time::{as_millis, millis};
 use heathroad_balancer::api::{Event, Idempotency, Outcome, RequestId};
 use heathroad_membership::activity_record::Activity;
@@ -36,7 +36,6 @@
     pub(super) last_outcome: Option<Outcome>,
     pub(super) budget: Option<RequestBudget>,
     pub(super) activity: Option<activity_log::RequestActivity>,
-    pub(super) execution: UncertainExecution,
 }
 
 impl OpenRequest {
@@ -47,7 +46,7 @@
         };
         if matches!(response, Response::Rejected { .. }) {
             // The client is told that a retry is safe.
-            self.execution.set(false);
+            self.record_execution(false);
         }
         // After failed attempts, retries by upstream tiers cannot succeed.
         let has_failed = !matches!(response, Response::Served(_)) && !self.attempts.is_empty();
@@ -60,6 +59,14 @@
         true
     }
 
+    /// Tells the client's connection whether the request may have been executed. A served request
+    /// counts as executed until the frontend has its response.
+    fn record_execution(&self, may_have_run: bool) {
+        if let Some(client) = &self.client {
+            client.record_execution(may_have_run);
+        }
+    }
+
     /// Returns whether an attempt has not reported its result.
     pub(super) fn has_attempt_in_flight(&self) -> bool {
         self.attempts
@@ -74,8 +81,7 @@
         let ResponseState::Pending(pending) = response else {
             return None;
         };
-        self.execution
-            .set(self.attempts.iter().any(AttemptRecord::may_have_run));
+        self.record_execution(self.attempts.iter().any(AttemptRecord::may_have_run));
         let in_flight = self
             .attempts
             .iter()
@@ -230,7 +236,6 @@
             last_outcome: None,
             budget: incoming.budget,
             activity: incoming.activity,
-            execution: incoming.execution,
         };
         self.state.borrow_mut().requests.insert(request, open);
     }
--- a/crates/heathroad/src/frontend/connections.rs
+++ b/crates/heathroad/src/frontend/connections.rs
@@ -76,8 +76,13 @@
     pub is_answered: Cell<bool>,
     /// Whether any request was answered with a backend's response.
     pub is_served: Cell<bool>,
-    /// The IDs of served requests whose responses the client may not have read.
-    unread_ids: RefCell<VecDeque<IdFingerprint>>,
+    /// Whether the last request may have been executed although its client got no response that
+    /// says so. Its ID then stays taken.
+    pub may_have_run: Cell<bool>,
+    /// The ID of the last served request, whose response the client may not have read.
+    unread_id: Cell<Option<IdFingerprint>>,
+    /// The IDs of earlier such requests, of a client that pipelines.
+    earlier_unread_ids: RefCell<VecDeque<IdFingerprint>>,
     /// The progress of its messages.
     pub progress: Rc<Progress>,
     /// The underlying stream.
@@ -119,18 +124,22 @@
 
     /// Records the ID of a request whose response is about to be written.
     pub fn add_unread_id(&self, id: IdFingerprint) {
-        let mut unread_ids = self.unread_ids.borrow_mut();
-        if unread_ids.len() >= MAX_UNREAD_IDS {
-            unread_ids.pop_front();
+        let Some(previous) = self.unread_id.replace(Some(id)) else {
+            return;
+        };
+        let mut earlier = self.earlier_unread_ids.borrow_mut();
+        if earlier.len() >= MAX_UNREAD_IDS {
+            earlier.pop_front();
         }
-        unread_ids.push_back(id);
+        earlier.push_back(previous);
     }
 
     /// Records the arrival of a request. A client that sends one after a response has read that;
     /// one that pipelines may not have.
     pub fn record_request(&self, received_at: Instant) {
         if received_at > self.idle_since.get() {
-            self.unread_ids.borrow_mut().clear();
+            self.unread_id.take();
+            self.earlier_unread_ids.borrow_mut().clear();
         }
     }
 
@@ -187,6 +196,10 @@
             !self.is_answered.get() || stall_detector::may_have_stalled(Instant::now());
         self.stream.presence(bypass_reactor)
     }
+
+    fn record_execution(&self, may_have_run: bool) {
+        self.may_have_run.set(may_have_run);
+    }
 }
 
 /// Accepts the connections in a listener's accept queue, which would be reset when the listener
@@ -269,7 +282,9 @@
             idle_since: Cell::new(Instant::now()),
             is_answered: Cell::new(false),
             is_served: Cell::new(false),
-            unread_ids: RefCell::default(),
+            may_have_run: Cell::new(false),
+            unread_id: Cell::default(),
+            earlier_unread_ids: RefCell::default(),
             progress: Rc::default(),
             stream: ReadAheadStream::new(stream, table, max_buffered_bytes),
             is_closing: Cell::new(false),
@@ -291,7 +306,8 @@
         let connection = &self.connection;
         connection.record_close(reason);
         let is_reset = connection.stream.has_failed();
-        for id in connection.unread_ids.take() {
+        let earlier = connection.earlier_unread_ids.take();
+        for id in earlier.into_iter().chain(connection.unread_id.take()) {
             if is_reset {
                 self.table.request_ids.retain(id);
             }
--- a/crates/heathroad/src/frontend/http/connection.rs
+++ b/crates/heathroad/src/frontend/http/connection.rs
@@ -197,7 +197,7 @@
         let decided = bound.engine.handle_request(incoming, client).await;
         let is_served = matches!(decided.response, engine::Response::Served(_));
         if is_served && connection.presence() == ClientPresence::Present {
-            reservation.execution.set(false);
+            connection.may_have_run.set(false);
             connection.add_unread_id(reservation.fingerprint());
         }
         to_final_reply(connection, decided)
--- a/crates/heathroad/src/frontend/http/request.rs
+++ b/crates/heathroad/src/frontend/http/request.rs
@@ -19,8 +19,8 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
-use hyper::http::uri::Authority;
 use hyper::{Method, Request, StatusCode, Uri, Version};
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -98,7 +98,7 @@
     pub(super) async fn read_request(
         &self,
         request: Request<Incoming>,
-        connection: &Connection,
+        connection: &Rc<Connection>,
         received_at: Instant,
         is_trusted: bool,
     ) -> Result<ReadRequest, RequestError> {
@@ -117,7 +117,7 @@
         check_method(bound.idempotency, &head.method, key_header, has_body)?;
         // Two open requests with the same ID could not be told apart, and one that may have been
         // executed could be executed again.
-        let reservation = RequestReservation::new(&self.table, headers.id);
+        let reservation = RequestReservation::new(&self.table, headers.id, connection);
         let mut reservation = reservation.ok_or(RequestError::DuplicateId)?;
         let body_deadline = body_deadline(connection, received_at, timeout);
         let body = if body.is_end_stream() {
@@ -146,7 +146,6 @@
             timeout,
             budget,
             activity,
-            execution: reservation.execution.clone(),
         };
         Ok((incoming, reservation, bound))
     }
@@ -260,8 +259,12 @@
     let Some(host) = hosts.next() else {
         return head.version == Version::HTTP_10;
     };
-    let is_valid = host.is_empty() || Authority::try_from(host.as_bytes()).is_ok();
-    is_valid && hosts.next().is_none()
+    host.as_bytes().iter().all(|byte| is_host_byte(*byte)) && hosts.next().is_none()
+}
+
+/// Returns whether a byte may stand in a host with a port (RFC 3986, section 3.2).
+fn is_host_byte(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"-._~%!$&'()*+,;=:[]".contains(&byte)
 }
 
 /// Returns the key in a request's query.
--- a/crates/heathroad/src/frontend/jsonrpc/call.rs
+++ b/crates/heathroad/src/frontend/jsonrpc/call.rs
@@ -9,7 +9,7 @@
 use crate::metrics::ResponseKind;
 use crate::retry_budget::{RequestBudget, read_jsonrpc_claim};
 use crate::router::RoutingRequest;
-use crate::safety::{ClientHandle, UncertainExecution};
+use crate::safety::ClientHandle;
 use bytes::Bytes;
 use heathroad_balancer::api::Idempotency;
 use heathroad_jsonrpc::message::{
@@ -136,7 +136,6 @@
             timeout,
             budget,
             activity: bound.activity.clone(),
-            execution: UncertainExecution::default(),
         };
         Ok(BoundCall {
             id,
@@ -201,38 +200,41 @@
     }
 
     /// Runs a call through the engine.
-    pub(super) async fn run_call(
+    pub(super) fn run_call(
         self: Rc<Self>,
         exchange: u64,
         call: BoundCall,
         client: ClientHandle,
-    ) -> FinishedCall {
-        let BoundCall {
-            id,
-            incoming,
-            bound,
-        } = call;
-        let _pending = PendingRequestGuard::new(&self.frontend().table);
-        let FinalResponse {
-            response,
-            retries_spent,
-        } = bound.engine.handle_request(incoming, Some(client)).await;
-        let is_rejected = matches!(response, Response::Rejected { .. });
-        let member = match response {
-            Response::Served(member) => member,
-            Response::Rejected { retry_after } => answer::rejected(retry_after),
-            Response::Failed => answer::failed(),
-            Response::TimedOut => answer::timed_out(),
-        };
-        let member = match retries_spent {
-            Some(spent) => write::with_retries_spent(&member, &spent.to_string()),
-            None => member,
-        };
-        FinishedCall {
-            exchange,
-            id,
-            member,
-            is_rejected,
+    ) -> impl Future<Output = FinishedCall> {
+        // Not an async function, whose future would hold its arguments twice.
+        async move {
+            let BoundCall {
+                id,
+                incoming,
+                bound,
+            } = call;
+            let _pending = PendingRequestGuard::new(&self.frontend().table);
+            let FinalResponse {
+                response,
+                retries_spent,
+            } = bound.engine.handle_request(incoming, Some(client)).await;
+            let is_rejected = matches!(response, Response::Rejected { .. });
+            let member = match response {
+                Response::Served(member) => member,
+                Response::Rejected { retry_after } => answer::rejected(retry_after),
+                Response::Failed => answer::failed(),
+                Response::TimedOut => answer::timed_out(),
+            };
+            let member = match retries_spent {
+                Some(spent) => write::with_retries_spent(&member, &spent.to_string()),
+                None => member,
+            };
+            FinishedCall {
+                exchange,
+                id,
+                member,
+                is_rejected,
+            }
         }
     }
 
--- a/crates/heathroad/src/frontend/reservations.rs
+++ b/crates/heathroad/src/frontend/reservations.rs
@@ -1,9 +1,8 @@
 //! Guards for the resources that clients hold besides connections: buffered bytes, IDs of open
 //! requests, and pending requests. Each guard releases its resource on drop.
 
-use super::connections::ConnectionTable;
+use super::connections::{Connection, ConnectionTable};
 use super::request_ids::IdFingerprint;
-use crate::safety::UncertainExecution;
 use hyper::header::HeaderValue;
 use std::rc::Rc;
 
@@ -66,18 +65,21 @@
 pub struct RequestReservation {
     /// The buffer space of the body.
     pub body: BufferReservation,
-    /// Whether the request may have been executed when the reservation ends, so that its ID stays
-    /// taken.
-    pub execution: UncertainExecution,
+    /// The connection that the request came on.
+    connection: Rc<Connection>,
     id: HeaderValue,
 }
 
 impl RequestReservation {
     /// Reserves an ID; returns `None` if it is taken.
-    pub fn new(table: &Rc<ConnectionTable>, id: &HeaderValue) -> Option<RequestReservation> {
+    pub fn new(
+        table: &Rc<ConnectionTable>,
+        id: &HeaderValue,
+        connection: &Rc<Connection>,
+    ) -> Option<RequestReservation> {
         table.request_ids.open(id).then(|| RequestReservation {
             body: BufferReservation::new(table),
-            execution: UncertainExecution::default(),
+            connection: connection.clone(),
             id: id.clone(),
         })
     }
@@ -92,7 +94,7 @@
 
 impl Drop for RequestReservation {
     fn drop(&mut self) {
-        let may_have_run = self.execution.may_have_run();
+        let may_have_run = self.connection.may_have_run.take();
         self.body.table.request_ids.close(&self.id, may_have_run);
     }
 }
--- a/crates/heathroad/src/safety/client.rs
+++ b/crates/heathroad/src/safety/client.rs
@@ -1,6 +1,5 @@
 //! What is known of clients, and what clients know of their requests.
 
-use std::cell::Cell;
 use std::rc::{Rc, Weak};
 
 /// What is known of a client.
@@ -18,6 +17,9 @@
 pub trait ClientConnection {
     /// Returns whether the client has closed the connection, as far as can be seen now.
     fn presence(&self) -> ClientPresence;
+
+    /// Records, when the client's request ends, whether it may have been executed.
+    fn record_execution(&self, _may_have_run: bool) {}
 }
 
 /// Refers to a client's connection without keeping it open.
@@ -36,21 +38,11 @@
         let connection = self.0.upgrade();
         connection.map_or(ClientPresence::Left, |connection| connection.presence())
     }
-}
-
-/// Whether a request may have been executed although its client got no response that says so. The
-/// engine sets it when the request ends; the frontend reads it when it releases the request.
-#[derive(Clone, Default)]
-pub struct UncertainExecution(Rc<Cell<bool>>);
-
-impl UncertainExecution {
-    /// Records whether the request may have been executed.
-    pub fn set(&self, may_have_run: bool) {
-        self.0.set(may_have_run);
-    }
 
-    /// Returns whether the request may have been executed.
-    pub fn may_have_run(&self) -> bool {
-        self.0.get()
+    /// Records, when the client's request ends, whether it may have been executed.
+    pub fn record_execution(&self, may_have_run: bool) {
+        if let Some(connection) = self.0.upgrade() {
+            connection.record_execution(may_have_run);
+        }
     }
 }
--- a/crates/heathroad/src/safety/mod.rs
+++ b/crates/heathroad/src/safety/mod.rs
@@ -13,7 +13,7 @@
 mod rules;
 pub mod violations;
 
-pub use client::{ClientConnection, ClientHandle, ClientPresence, UncertainExecution};
+pub use client::{ClientConnection, ClientHandle, ClientPresence};
 pub use rules::{
     ConnectionState, DENIAL_KINDS, Denial, Location, PastAttempt, PendingWrite, WriteDeadline,
     check_client, check_retry, check_write, may_close, may_have_run, may_reject, retry_window,
--- a/crates/heathroad/tests/unit/engine.rs
+++ b/crates/heathroad/tests/unit/engine.rs
@@ -7,8 +7,7 @@
 use crate::discovery::endpoint_list::{Instance, InstanceHealth};
 use crate::runtime_accounting::spawn_local;
 use crate::safety::{
-    ClientConnection, ClientHandle, ClientPresence, Denial, Location, PastAttempt,
-    UncertainExecution, violations,
+    ClientConnection, ClientHandle, ClientPresence, Denial, Location, PastAttempt, violations,
 };
 use bytes::Bytes;
 use heathroad_balancer::api::{Outcome, UpdateKind};
@@ -122,7 +121,6 @@
                 last_outcome: None,
                 budget: None,
                 activity: None,
-                execution: UncertainExecution::default(),
             };
             engine.state.borrow_mut().requests.insert(7, open);
             engine.update_endpoints(
@@ -206,7 +204,6 @@
         timeout,
         budget: None,
         activity: None,
-        execution: UncertainExecution::default(),
     }
 }
 
