--- a/crates/heathroad/src/frontend/jsonrpc/call.rs
+++ b/crates/heathroad/src/frontend/jsonrpc/call.rs
@@ -200,13 +200,16 @@
     }
 
     /// Runs a call through the engine.
+    #[allow(
+        clippy::manual_async_fn,
+        reason = "the future of an async function would hold its arguments twice"
+    )]
     pub(super) fn run_call(
         self: Rc<Self>,
         exchange: u64,
         call: BoundCall,
         client: ClientHandle,
     ) -> impl Future<Output = FinishedCall> {
-        // Not an async function, whose future would hold its arguments twice.
         async move {
             let BoundCall {
                 id,
